--- /dev/null
+++ b/bench/src/main/java/org/hickorymoor/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Benchmarks and the load tool. */
+@NullMarked
+package org.hickorymoor.bench;
+
+import org.jspecify.annotations.NullMarked;
