Add a first-fit scheduler as the plain baseline

Cause: the daemon needs a scheduler that decides starts before the full policy exists, and the policy needs a baseline to be measured against.

Ruled out: preempting, learning or refusing here; a baseline stays plain.

Change: FirstFitScheduler starts work by class in order of arrival on the first worker with room. All-at-once jobs start whole or not at all. Decided starts count as in use until their end is told. Failed attempts of repeatable jobs are retried with the next attempt number after a jittered back-off, at most five attempts in all; services are restarted; an attempt that never ran is tried again even for jobs that must not be repeated.

--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/FirstFitScheduler.java
@@ -0,0 +1,234 @@
+package org.hickorymoor.domain.policy;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.ReasonType;
+import org.hickorymoor.domain.job.TaskId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Starts work first come, first served within each class, on the first worker that holds it.
+ *
+ * <p>It is the plain baseline that other schedulers are compared with: it trusts what is declared,
+ * learns nothing, refuses nothing and preempts nothing. An all-at-once job starts whole or not at
+ * all. A job that does not fit is passed over, so it blocks nobody.
+ *
+ * <pre>{@code
+ * CellScheduler scheduler = new FirstFitScheduler(new SplittableRandom(seed));
+ * }</pre>
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class FirstFitScheduler implements CellScheduler {
+
+  private static final int MAX_ATTEMPTS = 5;
+  private static final long RETRY_BASE_DELAY_MS = 200;
+  private static final long RETRY_MAX_DELAY_MS = 30_000;
+
+  private final TaskLedger ledger = new TaskLedger();
+  private final Map<String, QueuedJob> jobs = new HashMap<>();
+  private final Map<JobClass, Set<QueuedJob>> queues = new EnumMap<>(JobClass.class);
+  private final DelayedAttempts delayed = new DelayedAttempts();
+  private final ArrayDeque<Decision> givenUp = new ArrayDeque<>();
+  private final RetryRules retryRules;
+
+  /**
+   * Creates a scheduler without workers or jobs.
+   *
+   * @param random source of the jitter in retry delays
+   */
+  public FirstFitScheduler(RandomGenerator random) {
+    retryRules = new RetryRules(MAX_ATTEMPTS, RETRY_BASE_DELAY_MS, RETRY_MAX_DELAY_MS, random);
+    for (JobClass jobClass : JobClass.values()) {
+      queues.put(jobClass, new LinkedHashSet<>());
+    }
+  }
+
+  @Override
+  public Admission admit(JobSpec spec, long nowMs) {
+    return Admission.ACCEPTED;
+  }
+
+  @Override
+  public void submit(String jobId, JobSpec spec, Collection<TaskId> tasks, long nowMs) {
+    QueuedJob job = jobOrNew(jobId, spec);
+    job.addWaiting(tasks);
+    enqueue(job);
+  }
+
+  @Override
+  public void cancel(String jobId) {
+    QueuedJob job = jobs.remove(jobId);
+    if (job != null) {
+      drop(job);
+    }
+  }
+
+  @Override
+  public void workerSeen(WorkerProfile profile, long nowMs) {
+    ledger.seen(profile);
+  }
+
+  @Override
+  public void workerLost(String workerId) {
+    ledger.lost(workerId);
+  }
+
+  @Override
+  public void taskFound(TaskId task, JobSpec spec, String workerId, long nowMs) {
+    QueuedJob job = jobOrNew(task.jobId(), spec);
+    job.removeWaiting(task.index());
+    ledger.start(task, job, workerId, nowMs);
+  }
+
+  @Override
+  public void taskEnded(TaskId task, TaskEnd end, long nowMs) {
+    RunningAttempt attempt = ledger.end(task);
+    if (attempt == null || attempt.job.dropped) {
+      return;
+    }
+    TaskId next = new TaskId(task.jobId(), task.index(), task.attempt() + 1);
+    switch (retryRules.judge(attempt.job, task.attempt(), end.outcome())) {
+      case RETRY_NOW -> requeue(attempt.job, next);
+      case RETRY_LATER ->
+          delayed.add(attempt.job, next, nowMs + retryRules.delayMs(task.attempt()));
+      case EXHAUSTED -> giveUp(attempt.job, task);
+      default -> forgetIfOver(attempt.job);
+    }
+  }
+
+  @Override
+  public void usageReported(String workerId, UsageReport report, long nowMs) {
+    // What is declared is trusted, so reports change nothing.
+  }
+
+  @Override
+  public List<Decision> decide(long nowMs) {
+    delayed.release(nowMs, this::requeue);
+    List<Decision> decisions = new ArrayList<>(givenUp);
+    givenUp.clear();
+    for (Set<QueuedJob> queue : queues.values()) {
+      startQueued(queue, nowMs, decisions);
+    }
+    return decisions;
+  }
+
+  @Override
+  public List<String> explain(String jobId, long nowMs) {
+    QueuedJob job = jobs.get(jobId);
+    if (job == null) {
+      return List.of();
+    }
+    if (!job.waiting.isEmpty()) {
+      return List.of(job.waiting.size() + " tasks wait for a worker with room for " + job.demand());
+    }
+    return job.backingOff > 0
+        ? List.of(job.backingOff + " tasks wait before another attempt")
+        : List.of();
+  }
+
+  @Override
+  public Resources learnedCapacity(String workerId) {
+    WorkerLoad worker = ledger.worker(workerId);
+    return worker == null || !worker.present() ? Resources.NONE : worker.capacity();
+  }
+
+  private QueuedJob jobOrNew(String jobId, JobSpec spec) {
+    return jobs.computeIfAbsent(jobId, id -> new QueuedJob(id, spec));
+  }
+
+  private Set<QueuedJob> queueOf(QueuedJob job) {
+    return requireNonNull(queues.get(job.jobClass()));
+  }
+
+  private void enqueue(QueuedJob job) {
+    if (!job.waiting.isEmpty()) {
+      queueOf(job).add(job);
+    }
+  }
+
+  private void requeue(QueuedJob job, TaskId task) {
+    job.addWaiting(List.of(task));
+    enqueue(job);
+  }
+
+  private void drop(QueuedJob job) {
+    job.dropped = true;
+    job.waiting.clear();
+    queueOf(job).remove(job);
+  }
+
+  private void giveUp(QueuedJob job, TaskId task) {
+    jobs.remove(job.jobId);
+    drop(job);
+    String message = "task " + task + " failed; at most " + MAX_ATTEMPTS + " attempts are made";
+    givenUp.add(new Decision.GiveUp(job.jobId, new Reason(ReasonType.FAILED_REPEATEDLY, message)));
+  }
+
+  private void forgetIfOver(QueuedJob job) {
+    if (job.over()) {
+      jobs.remove(job.jobId);
+    }
+  }
+
+  private void startQueued(Set<QueuedJob> queue, long nowMs, List<Decision> decisions) {
+    Set<Resources> fullFor = new HashSet<>();
+    for (Iterator<QueuedJob> all = queue.iterator(); all.hasNext(); ) {
+      QueuedJob job = all.next();
+      boolean mayFit = job.ready() && !fullFor.contains(job.demand());
+      if (mayFit && !startJob(job, nowMs, decisions) && !job.allAtOnce()) {
+        fullFor.add(job.demand());
+      }
+      if (job.waiting.isEmpty()) {
+        all.remove();
+      }
+    }
+  }
+
+  /** Starts what fits of a job; returns whether nothing of it is left waiting. */
+  private boolean startJob(QueuedJob job, long nowMs, List<Decision> decisions) {
+    List<RunningAttempt> started = new ArrayList<>();
+    for (TaskId task : job.waiting) {
+      WorkerLoad worker = firstFit(job.demand());
+      if (worker == null) {
+        break;
+      }
+      started.add(ledger.start(task, job, worker.workerId, nowMs));
+    }
+    boolean whole = started.size() == job.waiting.size();
+    if (job.allAtOnce() && !whole) {
+      started.forEach(attempt -> ledger.end(attempt.task));
+      return false;
+    }
+    for (RunningAttempt attempt : started) {
+      job.waiting.remove();
+      decisions.add(new Decision.Start(attempt.task, attempt.worker.workerId));
+    }
+    return whole;
+  }
+
+  private @Nullable WorkerLoad firstFit(Resources demand) {
+    for (WorkerLoad worker : ledger.workers()) {
+      if (worker.open() && demand.fitsIn(worker.free())) {
+        return worker;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/RetryRules.java
@@ -0,0 +1,70 @@
+package org.hickorymoor.domain.policy;
+
+import java.util.random.RandomGenerator;
+import org.hickorymoor.domain.job.JobKind;
+
+/** Decides whether an ended attempt is followed by another one, and when. */
+final class RetryRules {
+
+  /** What follows the end of an attempt. */
+  enum Verdict {
+    /** Nothing: the task is over. */
+    OVER,
+
+    /** Another attempt, without delay. */
+    RETRY_NOW,
+
+    /** Another attempt, after a back-off. */
+    RETRY_LATER,
+
+    /** The job has used up its retries. */
+    EXHAUSTED
+  }
+
+  private static final int MAX_DOUBLINGS = 16;
+
+  private final int maxFailures;
+  private final long baseDelayMs;
+  private final long maxDelayMs;
+  private final RandomGenerator random;
+
+  RetryRules(int maxFailures, long baseDelayMs, long maxDelayMs, RandomGenerator random) {
+    this.maxFailures = maxFailures;
+    this.baseDelayMs = baseDelayMs;
+    this.maxDelayMs = maxDelayMs;
+    this.random = random;
+  }
+
+  /**
+   * Judges an end. An attempt that never ran may be followed by another one even where the job must
+   * not be repeated.
+   *
+   * @param job the job, with this failure already counted
+   * @param attempt number of the attempt that ended
+   * @param outcome how it ended
+   */
+  Verdict judge(QueuedJob job, int attempt, TaskEnd.Outcome outcome) {
+    if (outcome == TaskEnd.Outcome.NOT_STARTED) {
+      return Verdict.RETRY_LATER;
+    }
+    if (!job.spec.repeatable()) {
+      return Verdict.OVER;
+    }
+    if (job.spec.kind() == JobKind.SERVICE) {
+      return outcome == TaskEnd.Outcome.STOPPED ? Verdict.RETRY_NOW : Verdict.RETRY_LATER;
+    }
+    return switch (outcome) {
+      case SUCCEEDED -> Verdict.OVER;
+      case STOPPED -> Verdict.RETRY_NOW;
+      default -> attempt >= maxFailures ? Verdict.EXHAUSTED : Verdict.RETRY_LATER;
+    };
+  }
+
+  /** Returns a delay that doubles with each attempt, of which a random half is taken off. */
+  long delayMs(int attempt) {
+    int doublings = Math.min(attempt - 1, MAX_DOUBLINGS);
+    long fullMs = Math.min(maxDelayMs, baseDelayMs << doublings);
+    long halfMs = fullMs / 2;
+    return halfMs + random.nextLong(halfMs + 1);
+  }
+}
