Read JSON records strictly and name every mistake at once

Callers and operators write records by hand. Gson's reflective reading stops at the first mistake, passes unknown fields over, keeps one of two equal keys and fills absent fields with zero, so it was ruled out for records.

RecordReader and ValueReader walk the parsed tree, collect a Problem for each mistake and throw one InvalidRecordException. A record of another schema version is refused whole, one over the size limit is refused unread.

--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/json/RecordReader.java
@@ -0,0 +1,191 @@
+package org.hickorymoor.protocol.json;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.stream.Collectors.joining;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads one JSON object strictly and collects every mistake instead of stopping at the first.
+ *
+ * <pre>{@code
+ * Quota quota =
+ *     RecordReader.read(
+ *         json,
+ *         MAX_BYTES,
+ *         reader ->
+ *             new Quota(
+ *                 reader.required("team").asName(),
+ *                 reader.optional("weight", value -> value.asInt(1, 100), 1)));
+ * }</pre>
+ *
+ * <p>A mistake yields a stand-in value that is in range, so that reading goes on; {@link #read}
+ * throws in the end and the stand-in is never seen. Fields that were not asked for are mistakes.
+ *
+ * <p>Instances are not thread-safe and live only as long as the function that they are given to.
+ */
+public final class RecordReader {
+
+  private static final String SCHEMA_VERSION = "schemaVersion";
+
+  private final String path;
+  private final JsonObject object;
+  private final ProblemList problems;
+  private final Set<String> known = new TreeSet<>();
+  private boolean mute;
+  private boolean ignoresUnknown;
+
+  RecordReader(String path, JsonObject object, ProblemList problems, boolean mute) {
+    this.path = path;
+    this.object = object;
+    this.problems = problems;
+    this.mute = mute;
+  }
+
+  /**
+   * Reads a whole record.
+   *
+   * <p>An {@link IllegalArgumentException} from a compact constructor within {@code read} counts as
+   * a mistake of the whole record.
+   *
+   * @param json the record
+   * @param limitBytes largest size of it in UTF-8
+   * @param read reads the fields and makes the value
+   * @param <T> type of the value
+   * @return the value
+   * @throws RecordTooLargeException if the record is larger than the limit
+   * @throws InvalidRecordException if there is any mistake; it names all of them
+   */
+  public static <T> T read(String json, int limitBytes, Function<RecordReader, T> read)
+      throws InvalidRecordException {
+    int sizeBytes = json.getBytes(UTF_8).length;
+    if (sizeBytes > limitBytes) {
+      throw new RecordTooLargeException(limitBytes, sizeBytes);
+    }
+    ProblemList problems = new ProblemList();
+    JsonElement root = StrictJson.parse(json, problems);
+    problems.throwIfAny();
+    return read(root, problems, read);
+  }
+
+  private static <T> T read(JsonElement root, ProblemList problems, Function<RecordReader, T> read)
+      throws InvalidRecordException {
+    ValueReader value = new ValueReader(Problem.ROOT_PATH, root, problems);
+    try {
+      T result = value.asObject(read);
+      problems.throwIfAny();
+      return result;
+    } catch (IllegalArgumentException e) {
+      // With other problems known, the exception may come from a stand-in value.
+      if (problems.isEmpty()) {
+        problems.add(Problem.ROOT_PATH, "values that agree", String.valueOf(e.getMessage()));
+      }
+      problems.throwIfAny();
+      throw e;
+    }
+  }
+
+  /**
+   * Reads the schema version.
+   *
+   * <p>A record of another version is refused whole: the version is then its only problem.
+   *
+   * @param supported the versions that can be read, at least one
+   * @return one of the supported versions
+   */
+  public int schemaVersion(int... supported) {
+    int version = required(SCHEMA_VERSION).asInt(Integer.MIN_VALUE, Integer.MAX_VALUE);
+    if (Arrays.stream(supported).anyMatch(candidate -> candidate == version)) {
+      return version;
+    }
+    String versions = Arrays.stream(supported).mapToObj(Integer::toString).collect(joining(", "));
+    if (object.has(SCHEMA_VERSION)) {
+      reject(SCHEMA_VERSION, "one of " + versions, Integer.toString(version));
+    }
+    mute = true;
+    return supported[0];
+  }
+
+  /**
+   * Reads a field that must be there.
+   *
+   * @param name name of the field
+   * @return reader of its value
+   */
+  public ValueReader required(String name) {
+    known.add(name);
+    JsonElement value = object.get(name);
+    if (value == null) {
+      reject(name, "a value", "no such field");
+    }
+    return reader(name, value);
+  }
+
+  /**
+   * Reads a field that may be absent.
+   *
+   * @param name name of the field
+   * @param read reads its value
+   * @param defaultValue value to use if the field is absent
+   * @param <T> type of the value
+   * @return the value
+   */
+  public <T> T optional(String name, Function<ValueReader, T> read, T defaultValue) {
+    T value = optional(name, read);
+    return value == null ? defaultValue : value;
+  }
+
+  /**
+   * Reads a field that may be absent and has no default.
+   *
+   * @param name name of the field
+   * @param read reads its value
+   * @param <T> type of the value
+   * @return the value, or null if the field is absent
+   */
+  public <T> @Nullable T optional(String name, Function<ValueReader, T> read) {
+    known.add(name);
+    JsonElement value = object.get(name);
+    return value == null ? null : read.apply(reader(name, value));
+  }
+
+  /**
+   * Reports a mistake that the reader can't see, such as two fields that don't agree.
+   *
+   * @param name the field
+   * @param expected what would have been right
+   * @param got what was there
+   */
+  public void reject(String name, String expected, String got) {
+    if (!mute) {
+      problems.add(Paths.field(path, name), expected, got);
+    }
+  }
+
+  /** Lets fields pass that are not asked for; for answers of a server that may be newer. */
+  public void ignoreUnknownFields() {
+    ignoresUnknown = true;
+  }
+
+  /** Reports the fields that nobody has asked for. */
+  void checkUnknownFields() {
+    if (ignoresUnknown) {
+      return;
+    }
+    for (String name : object.keySet()) {
+      if (!known.contains(name)) {
+        reject(name, "one of the fields " + String.join(", ", known), "unknown field");
+      }
+    }
+  }
+
+  private ValueReader reader(String name, @Nullable JsonElement value) {
+    return new ValueReader(Paths.field(path, name), mute ? null : value, problems);
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/json/StrictJson.java
@@ -0,0 +1,105 @@
+package org.hickorymoor.protocol.json;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonNull;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import java.io.IOException;
+import java.io.StringReader;
+import java.math.BigDecimal;
+
+/**
+ * Parses JSON into a tree, and takes a key that stands twice in an object for a mistake.
+ *
+ * <p>Gson's own parser silently keeps one of two equal keys.
+ */
+final class StrictJson {
+
+  private static final int MAX_NUMBER_CHARS = 40;
+
+  private final JsonReader reader;
+  private final ProblemList problems;
+
+  private StrictJson(JsonReader reader, ProblemList problems) {
+    this.reader = reader;
+    this.problems = problems;
+  }
+
+  /** Parses a whole document; what is not JSON becomes a problem and {@link JsonNull}. */
+  static JsonElement parse(String json, ProblemList problems) {
+    JsonReader reader = new JsonReader(new StringReader(json));
+    reader.setStrictness(Strictness.STRICT);
+    try {
+      JsonElement element = new StrictJson(reader, problems).element(Problem.ROOT_PATH);
+      if (reader.peek() != JsonToken.END_DOCUMENT) {
+        problems.add(Problem.ROOT_PATH, "one JSON object and no more", "text behind it");
+      }
+      return element;
+    } catch (IOException e) {
+      problems.add(Problem.ROOT_PATH, "JSON", firstLine(e));
+      return JsonNull.INSTANCE;
+    }
+  }
+
+  private JsonElement element(String path) throws IOException {
+    return switch (reader.peek()) {
+      case BEGIN_OBJECT -> object(path);
+      case BEGIN_ARRAY -> array(path);
+      case STRING -> new JsonPrimitive(reader.nextString());
+      case NUMBER -> number(path);
+      case BOOLEAN -> new JsonPrimitive(reader.nextBoolean());
+      default -> {
+        reader.nextNull();
+        yield JsonNull.INSTANCE;
+      }
+    };
+  }
+
+  private JsonObject object(String path) throws IOException {
+    JsonObject object = new JsonObject();
+    reader.beginObject();
+    while (reader.hasNext()) {
+      String key = reader.nextName();
+      String keyPath = Paths.field(path, key);
+      JsonElement value = element(keyPath);
+      if (object.has(key)) {
+        problems.add(keyPath, "the field once", "the field twice");
+      }
+      object.add(key, value);
+    }
+    reader.endObject();
+    return object;
+  }
+
+  private JsonArray array(String path) throws IOException {
+    JsonArray array = new JsonArray();
+    reader.beginArray();
+    while (reader.hasNext()) {
+      array.add(element(Paths.item(path, array.size())));
+    }
+    reader.endArray();
+    return array;
+  }
+
+  private JsonElement number(String path) throws IOException {
+    String text = reader.nextString();
+    try {
+      if (text.length() <= MAX_NUMBER_CHARS) {
+        return new JsonPrimitive(new BigDecimal(text));
+      }
+    } catch (NumberFormatException e) {
+      // An exponent beyond what BigDecimal holds is reported as too long a number.
+    }
+    problems.add(path, "a number of at most " + MAX_NUMBER_CHARS + " characters", text);
+    return new JsonPrimitive(0);
+  }
+
+  private static String firstLine(IOException e) {
+    String message = String.valueOf(e.getMessage());
+    return message.lines().findFirst().orElse("nothing");
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/json/ValueReader.java
@@ -0,0 +1,212 @@
+package org.hickorymoor.protocol.json;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads one JSON value strictly; every mistake goes to the list of its {@link RecordReader}.
+ *
+ * <pre>{@code
+ * Map<String, Integer> weights =
+ *     reader.required("weights").asMap(MAX_TEAMS, value -> value.asInt(1, 100));
+ * }</pre>
+ *
+ * <p>After a mistake each method returns a stand-in value that is in range. Not thread-safe.
+ */
+public final class ValueReader {
+
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+  private static final String NAME_EXPECTED =
+      "a name of 1 to 128 characters of A-Z a-z 0-9 . _ : -";
+  private static final String NAME_STAND_IN = "invalid";
+
+  private final String path;
+  private final @Nullable JsonElement element;
+  private final ProblemList problems;
+
+  /** Makes a reader; for a value that is absent, and reported already, it reports nothing. */
+  ValueReader(String path, @Nullable JsonElement element, ProblemList problems) {
+    this.path = path;
+    this.element = element;
+    this.problems = problems;
+  }
+
+  /**
+   * Reads a whole number.
+   *
+   * @param min smallest value
+   * @param max largest value
+   * @return the number
+   */
+  public int asInt(int min, int max) {
+    return Math.toIntExact(asLong(min, max));
+  }
+
+  /**
+   * Reads a whole number.
+   *
+   * @param min smallest value
+   * @param max largest value
+   * @return the number
+   */
+  public long asLong(long min, long max) {
+    String expected = "a whole number from " + min + " to " + max;
+    if (!(element instanceof JsonPrimitive number) || !number.isNumber()) {
+      return reject(expected, min);
+    }
+    try {
+      long value = number.getAsBigDecimal().longValueExact();
+      return value >= min && value <= max ? value : reject(expected, min);
+    } catch (ArithmeticException e) {
+      return reject(expected, min);
+    }
+  }
+
+  /**
+   * Reads a number that may have a fraction.
+   *
+   * @param min smallest value
+   * @param max largest value
+   * @return the number
+   */
+  public double asDouble(double min, double max) {
+    String expected = "a number from " + min + " to " + max;
+    if (!(element instanceof JsonPrimitive number) || !number.isNumber()) {
+      return reject(expected, min);
+    }
+    double value = number.getAsDouble();
+    return value >= min && value <= max ? value : reject(expected, min);
+  }
+
+  /**
+   * Reads true or false.
+   *
+   * @return the value
+   */
+  public boolean asBoolean() {
+    if (element instanceof JsonPrimitive value && value.isBoolean()) {
+      return value.getAsBoolean();
+    }
+    return reject("true or false", false);
+  }
+
+  /**
+   * Reads a string.
+   *
+   * @param maxChars largest length
+   * @return the string
+   */
+  public String asText(int maxChars) {
+    Optional<String> text = text().filter(value -> value.length() <= maxChars);
+    return text.orElseGet(() -> reject("a string of at most " + maxChars + " characters", ""));
+  }
+
+  /**
+   * Reads a name: 1 to 128 letters, digits, dots, underscores, colons or hyphens.
+   *
+   * @return the name
+   */
+  public String asName() {
+    Optional<String> name = text().filter(value -> NAME.matcher(value).matches());
+    return name.orElseGet(() -> reject(NAME_EXPECTED, NAME_STAND_IN));
+  }
+
+  /**
+   * Reads an enum constant by its name in lower-kebab-case.
+   *
+   * @param type the enum
+   * @param <E> the enum
+   * @return the constant
+   */
+  public <E extends Enum<E>> E asEnum(Class<E> type) {
+    Optional<E> constant = text().flatMap(value -> EnumNames.parse(type, value));
+    return constant.orElseGet(
+        () -> reject("one of " + EnumNames.allOf(type), type.getEnumConstants()[0]));
+  }
+
+  /**
+   * Reads an object.
+   *
+   * @param read reads the fields and makes the value
+   * @param <T> type of the value
+   * @return the value
+   */
+  public <T> T asObject(Function<RecordReader, T> read) {
+    if (element instanceof JsonObject object) {
+      RecordReader reader = new RecordReader(path, object, problems, false);
+      T value = read.apply(reader);
+      reader.checkUnknownFields();
+      return value;
+    }
+    JsonObject empty = reject("an object", new JsonObject());
+    return read.apply(new RecordReader(path, empty, problems, true));
+  }
+
+  /**
+   * Reads a list.
+   *
+   * @param maxSize largest number of items
+   * @param read reads one item
+   * @param <T> type of the items
+   * @return the items in their order
+   */
+  public <T> List<T> asList(int maxSize, Function<ValueReader, T> read) {
+    if (!(element instanceof JsonArray array) || array.size() > maxSize) {
+      return reject("a list of at most " + maxSize + " items", List.of());
+    }
+    List<T> items = new ArrayList<>();
+    for (int i = 0; i < array.size(); i++) {
+      items.add(read.apply(new ValueReader(Paths.item(path, i), array.get(i), problems)));
+    }
+    return Collections.unmodifiableList(items);
+  }
+
+  /**
+   * Reads an object as a map from names to values.
+   *
+   * @param maxSize largest number of entries
+   * @param read reads one value
+   * @param <T> type of the values
+   * @return the entries in their order
+   */
+  public <T> Map<String, T> asMap(int maxSize, Function<ValueReader, T> read) {
+    if (!(element instanceof JsonObject object) || object.size() > maxSize) {
+      return reject("an object of at most " + maxSize + " entries", Map.of());
+    }
+    Map<String, T> entries = new LinkedHashMap<>();
+    for (Map.Entry<String, JsonElement> entry : object.entrySet()) {
+      String key = entry.getKey();
+      ValueReader value = new ValueReader(Paths.field(path, key), entry.getValue(), problems);
+      if (!NAME.matcher(key).matches()) {
+        problems.add(Paths.field(path, key), NAME_EXPECTED + " as key", key);
+      }
+      entries.put(key, read.apply(value));
+    }
+    return Collections.unmodifiableMap(entries);
+  }
+
+  private Optional<String> text() {
+    if (element instanceof JsonPrimitive value && value.isString()) {
+      return Optional.of(value.getAsString());
+    }
+    return Optional.empty();
+  }
+
+  private <T> T reject(String expected, T standIn) {
+    if (element != null) {
+      problems.add(path, expected, element.toString());
+    }
+    return standIn;
+  }
+}
