Read and write job records of two schema versions and the answers

Callers publish versioned records, old and new side by side, and must get the whole answer to their own request. JobRecordCodec reads versions 1 and 2 into one JobSpec and writes a canonical version 2, so that two requests under one key can be compared. CallerJson writes and reads answers and errors; reading passes over fields of a newer server, where records from callers are read strictly.

--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/caller/CallerJson.java
@@ -0,0 +1,160 @@
+package org.hickorymoor.protocol.caller;
+
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
+import java.util.List;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.ReasonType;
+import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.job.TaskStatus;
+import org.hickorymoor.protocol.json.InvalidRecordException;
+import org.hickorymoor.protocol.json.Problem;
+import org.hickorymoor.protocol.json.RecordReader;
+import org.hickorymoor.protocol.json.ValueReader;
+
+/**
+ * Writes and reads the answers of the caller's HTTP interface.
+ *
+ * <pre>{@code
+ * String body = CallerJson.toJson(answer);
+ * JobAnswer same = CallerJson.parseAnswer(body);
+ * }</pre>
+ *
+ * <p>Enums are in lower-kebab-case; fields that are null are left out. Reading passes over unknown
+ * fields, since the server may be newer than its client. All methods are pure and safe for use by
+ * several threads.
+ */
+public final class CallerJson {
+
+  /** Largest size of an answer that is read. */
+  public static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+  private static final Gson GSON =
+      new GsonBuilder().disableHtmlEscaping().registerTypeAdapterFactory(new KebabEnums()).create();
+
+  private CallerJson() {}
+
+  /**
+   * Writes any answer, such as a {@link JobAnswer}, an {@link ErrorBody} or a record of these.
+   *
+   * @param answer the answer
+   * @return JSON on one line
+   */
+  public static String toJson(Object answer) {
+    return GSON.toJson(answer);
+  }
+
+  /**
+   * Reads the answer about a job.
+   *
+   * @param json the answer
+   * @return the answer
+   * @throws InvalidRecordException if it is not such an answer
+   */
+  public static JobAnswer parseAnswer(String json) throws InvalidRecordException {
+    return RecordReader.read(json, MAX_ANSWER_BYTES, CallerJson::answer);
+  }
+
+  /**
+   * Reads a list of answers, {@code {"jobs":[...]}}.
+   *
+   * @param json the list
+   * @return the answers
+   * @throws InvalidRecordException if it is not such a list
+   */
+  public static List<JobAnswer> parseAnswers(String json) throws InvalidRecordException {
+    return RecordReader.read(
+        json,
+        MAX_ANSWER_BYTES,
+        reader -> {
+          reader.ignoreUnknownFields();
+          return reader.required("jobs").asList(Integer.MAX_VALUE, CallerJson::answerItem);
+        });
+  }
+
+  /**
+   * Reads the body of an error.
+   *
+   * @param json the body
+   * @return the error
+   * @throws InvalidRecordException if it is not such a body
+   */
+  public static ErrorBody parseError(String json) throws InvalidRecordException {
+    return RecordReader.read(
+        json,
+        MAX_ANSWER_BYTES,
+        reader -> {
+          reader.ignoreUnknownFields();
+          return new ErrorBody(reader.required("error").asObject(CallerJson::errorDetail));
+        });
+  }
+
+  private static JobAnswer answerItem(ValueReader value) {
+    return value.asObject(CallerJson::answer);
+  }
+
+  private static JobAnswer answer(RecordReader reader) {
+    reader.ignoreUnknownFields();
+    return new JobAnswer(
+        reader.required("request").asObject(CallerJson::request),
+        reader.optional("jobId", CallerJson::text, ""),
+        reader.required("state").asEnum(JobState.class),
+        reader.optional("reason", value -> value.asObject(CallerJson::reason), Reason.NONE),
+        reader.optional("retryAfterMs", value -> value.asLong(0, Long.MAX_VALUE), 0L),
+        reader.optional(
+            "tasks", list -> list.asList(Integer.MAX_VALUE, CallerJson::task), List.of()));
+  }
+
+  private static RequestKey request(RecordReader reader) {
+    reader.ignoreUnknownFields();
+    return new RequestKey(reader.required("team").asName(), reader.required("key").asName());
+  }
+
+  private static Reason reason(RecordReader reader) {
+    reader.ignoreUnknownFields();
+    return new Reason(
+        reader.required("type").asEnum(ReasonType.class),
+        reader.optional("message", CallerJson::text, ""));
+  }
+
+  private static TaskStatus task(ValueReader value) {
+    return value.asObject(
+        reader -> {
+          reader.ignoreUnknownFields();
+          return new TaskStatus(
+              reader.required("index").asInt(0, Integer.MAX_VALUE),
+              reader.required("state").asEnum(JobState.class),
+              reader.optional("workerId", CallerJson::text),
+              reader.optional("attempts", number -> number.asInt(0, Integer.MAX_VALUE), 0),
+              reader.optional(
+                  "exitCode", number -> number.asInt(Integer.MIN_VALUE, Integer.MAX_VALUE), 0),
+              reader.optional("output", CallerJson::text, ""));
+        });
+  }
+
+  private static ErrorBody.Detail errorDetail(RecordReader reader) {
+    reader.ignoreUnknownFields();
+    return new ErrorBody.Detail(
+        text(reader.required("type")),
+        reader.optional("message", CallerJson::text, ""),
+        reader.optional(
+            "problems", list -> list.asList(Integer.MAX_VALUE, CallerJson::problem), List.of()));
+  }
+
+  private static Problem problem(ValueReader value) {
+    return value.asObject(
+        reader -> {
+          reader.ignoreUnknownFields();
+          return new Problem(
+              reader.optional("path", CallerJson::text, Problem.ROOT_PATH),
+              reader.optional("expected", CallerJson::text, ""),
+              reader.optional("got", CallerJson::text, ""));
+        });
+  }
+
+  private static String text(ValueReader value) {
+    return value.asText(MAX_ANSWER_BYTES);
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/caller/FlatJobRecord.java
@@ -0,0 +1,37 @@
+package org.hickorymoor.protocol.caller;
+
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.Spread;
+import org.hickorymoor.protocol.json.RecordReader;
+
+/** Schema version 1: all fields side by side; each task takes one slot and one connection. */
+final class FlatJobRecord {
+
+  private FlatJobRecord() {}
+
+  static JobSpec read(RecordReader reader) {
+    return new JobSpec(
+        JobFields.request(reader),
+        JobFields.name(reader),
+        JobFields.kind(reader),
+        JobFields.jobClass(reader),
+        reader.optional("tasks", value -> value.asInt(1, JobFields.MAX_TASKS), 1),
+        demand(reader),
+        JobFields.timeMs(reader, "runMs"),
+        JobFields.payload(reader),
+        JobFields.repeatable(reader),
+        Spread.NONE,
+        0,
+        null);
+  }
+
+  private static Resources demand(RecordReader reader) {
+    return new Resources(
+        1,
+        1,
+        JobFields.cpuMillis(reader),
+        JobFields.memoryMb(reader),
+        JobFields.accelerators(reader));
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/caller/JobRecordCodec.java
@@ -0,0 +1,96 @@
+package org.hickorymoor.protocol.caller;
+
+import com.google.gson.JsonObject;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.protocol.json.EnumNames;
+import org.hickorymoor.protocol.json.InvalidRecordException;
+import org.hickorymoor.protocol.json.RecordReader;
+
+/**
+ * Reads job records of every schema version, and writes the newest.
+ *
+ * <pre>{@code
+ * JobSpec spec = JobRecordCodec.parse(body);
+ * String canonical = JobRecordCodec.toJson(spec);
+ * }</pre>
+ *
+ * <p>All methods are pure and safe for use by several threads.
+ */
+public final class JobRecordCodec {
+
+  /** Largest size of a job record. */
+  public static final int MAX_BYTES = 64 * 1024;
+
+  private static final int FLAT_VERSION = 1;
+  private static final int NESTED_VERSION = 2;
+
+  private JobRecordCodec() {}
+
+  /**
+   * Reads a job record of schema version 1 or 2.
+   *
+   * @param json the record
+   * @return what it asks for
+   * @throws InvalidRecordException if there is any mistake; it names all of them
+   */
+  public static JobSpec parse(String json) throws InvalidRecordException {
+    return RecordReader.read(json, MAX_BYTES, JobRecordCodec::read);
+  }
+
+  /**
+   * Writes a job record of schema version 2, every field in a fixed order.
+   *
+   * <p>Two requests ask for the same if and only if their canonical records are equal.
+   *
+   * @param spec what is asked for
+   * @return the record on one line
+   */
+  public static String toJson(JobSpec spec) {
+    JsonObject record = new JsonObject();
+    record.addProperty("schemaVersion", NESTED_VERSION);
+    record.addProperty("team", spec.request().team());
+    record.addProperty("key", spec.request().key());
+    record.addProperty("name", spec.name());
+    record.addProperty("kind", EnumNames.textOf(spec.kind()));
+    record.addProperty("class", EnumNames.textOf(spec.jobClass()));
+    record.addProperty("repeatable", spec.repeatable());
+    record.add("tasks", tasks(spec));
+    record.add("placement", placement(spec));
+    record.addProperty("startWithinMs", spec.startWithinMs());
+    return record.toString();
+  }
+
+  private static JobSpec read(RecordReader reader) {
+    int version = reader.schemaVersion(NESTED_VERSION, FLAT_VERSION);
+    return version == FLAT_VERSION ? FlatJobRecord.read(reader) : NestedJobRecord.read(reader);
+  }
+
+  private static JsonObject tasks(JobSpec spec) {
+    JsonObject tasks = new JsonObject();
+    tasks.addProperty("count", spec.taskCount());
+    tasks.addProperty("payload", spec.payload());
+    tasks.addProperty("declaredRunMs", spec.declaredRunMs());
+    tasks.add("demand", demand(spec.demand()));
+    return tasks;
+  }
+
+  private static JsonObject demand(Resources amount) {
+    JsonObject demand = new JsonObject();
+    demand.addProperty("slots", amount.slots());
+    demand.addProperty("connections", amount.connections());
+    demand.addProperty("cpuMillis", amount.cpuMillis());
+    demand.addProperty("memoryMb", amount.memoryMb());
+    demand.addProperty("accelerators", amount.accelerators());
+    return demand;
+  }
+
+  private static JsonObject placement(JobSpec spec) {
+    JsonObject placement = new JsonObject();
+    if (spec.domain() != null) {
+      placement.addProperty("domain", spec.domain());
+    }
+    placement.addProperty("spread", EnumNames.textOf(spec.spread()));
+    return placement;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/caller/KebabEnums.java
@@ -0,0 +1,33 @@
+package org.hickorymoor.protocol.caller;
+
+import com.google.gson.Gson;
+import com.google.gson.TypeAdapter;
+import com.google.gson.TypeAdapterFactory;
+import com.google.gson.reflect.TypeToken;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonWriter;
+import java.io.IOException;
+import org.hickorymoor.protocol.json.EnumNames;
+import org.jspecify.annotations.Nullable;
+
+/** Writes enum constants in lower-kebab-case; reading goes through {@code RecordReader}. */
+final class KebabEnums implements TypeAdapterFactory {
+
+  @Override
+  public <T> @Nullable TypeAdapter<T> create(Gson gson, TypeToken<T> type) {
+    return Enum.class.isAssignableFrom(type.getRawType()) ? new Adapter<>() : null;
+  }
+
+  private static final class Adapter<T> extends TypeAdapter<T> {
+
+    @Override
+    public void write(JsonWriter out, @Nullable T value) throws IOException {
+      out.value(value == null ? null : EnumNames.textOf((Enum<?>) value));
+    }
+
+    @Override
+    public T read(JsonReader in) {
+      throw new UnsupportedOperationException("enums are read by RecordReader");
+    }
+  }
+}
