--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/HttpLogAdapter.java
@@ -0,0 +1,47 @@
+package org.hickorymoor.daemon.adapter;
+
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.port.LogPort;
+import org.hickorymoor.protocol.platform.AppendCommand;
+import org.hickorymoor.protocol.platform.AppendReply;
+import org.hickorymoor.protocol.platform.ReadReply;
+
+/** Talks to the platform's log over HTTP. Safe for use by several threads. */
+public final class HttpLogAdapter implements LogPort {
+
+  private final PlatformHttp http;
+  private final String address;
+
+  /**
+   * Makes the adapter.
+   *
+   * @param http client to call with, started and stopped by its owner
+   * @param address ip:port of the log service
+   */
+  public HttpLogAdapter(PlatformHttp http, String address) {
+    this.http = http;
+    this.address = address;
+  }
+
+  @Override
+  public CompletableFuture<Long> append(String stream, String data, long timeoutMs) {
+    return http.post(
+            address,
+            path(stream) + "/append",
+            new AppendCommand(data),
+            AppendReply.class,
+            timeoutMs)
+        .thenApply(AppendReply::offset);
+  }
+
+  @Override
+  public CompletableFuture<ReadReply> read(
+      String stream, long fromOffset, int maxRecords, long waitMs, long timeoutMs) {
+    String query = "?from=" + fromOffset + "&max=" + maxRecords + "&waitMs=" + waitMs;
+    return http.get(address, path(stream) + query, ReadReply.class, timeoutMs);
+  }
+
+  private static String path(String stream) {
+    return "/v1/streams/" + stream;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -0,0 +1,281 @@
+package org.hickorymoor.daemon.coordinator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.ReasonType;
+import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.policy.Admission;
+import org.hickorymoor.domain.policy.Decision;
+import org.hickorymoor.domain.policy.WorkerProfile;
+import org.hickorymoor.protocol.platform.SyncReply;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The jobs of one failure domain during one term of its coordinator.
+ *
+ * <p>It starts nothing before it is settled: until every worker has been listed, or what an earlier
+ * coordinator may have started on the others has certainly lapsed. Safe for use by several threads:
+ * state is under one lock, and no call goes out with the lock held.
+ */
+final class Cell {
+
+  private final CellContext context;
+  private final JobTable jobs = new JobTable();
+  private final TaskRunner runner;
+  private final Object lock = new Object();
+  private final long startedMs;
+  private boolean settled;
+  private boolean closed;
+
+  Cell(CellContext context, String termTag) {
+    this.context = context;
+    this.startedMs = context.clockMs().getAsLong();
+    this.runner = new TaskRunner(context, jobs, lock, termTag, startedMs, this::pump);
+  }
+
+  /**
+   * Takes a job on, or finds the one that the request already has.
+   *
+   * @param jobId name for a new job
+   * @param spec what it is
+   * @param waitMs longest time to wait for the job's end
+   * @return the answer at its end or when the time has passed
+   */
+  CompletableFuture<JobAnswer> submit(String jobId, JobSpec spec, long waitMs) {
+    CompletableFuture<JobAnswer> answer;
+    synchronized (lock) {
+      Job known = jobs.byKey(spec.request());
+      if (known != null) {
+        return resubmit(known, spec, waitMs);
+      }
+      Admission admission = context.scheduler().admit(spec, context.clockMs().getAsLong());
+      if (!admission.accepted()) {
+        return CompletableFuture.completedFuture(refused(spec, admission));
+      }
+      Job job = new Job(jobId, spec, context.clockMs().getAsLong());
+      jobs.add(job);
+      runner.record(job);
+      answer = await(job, waitMs);
+    }
+    pump();
+    return answer;
+  }
+
+  private CompletableFuture<JobAnswer> resubmit(Job known, JobSpec spec, long waitMs) {
+    if (!known.spec().equals(spec)) {
+      return CompletableFuture.completedFuture(reused(known));
+    }
+    known.want();
+    if (settled) {
+      runner.enqueue(known);
+    }
+    return await(known, waitMs);
+  }
+
+  /**
+   * Waits for a job's end.
+   *
+   * @param request name of the request
+   * @param waitMs longest time to wait
+   * @return the answer, or empty if there is no such job
+   */
+  Optional<CompletableFuture<JobAnswer>> get(RequestKey request, long waitMs) {
+    synchronized (lock) {
+      Job job = jobs.byKey(request);
+      return job == null ? Optional.empty() : Optional.of(await(job, waitMs));
+    }
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param request name of the request
+   * @return the answer after it, or empty if there is no such job
+   */
+  Optional<JobAnswer> cancel(RequestKey request) {
+    JobAnswer answer;
+    synchronized (lock) {
+      Job job = jobs.byKey(request);
+      if (job == null) {
+        return Optional.empty();
+      }
+      runner.cancel(job, ReasonType.CANCELLED, "The caller cancelled the job.");
+      answer = job.answer();
+    }
+    pump();
+    return Optional.of(answer);
+  }
+
+  /** Returns the jobs of a team, or of all teams for null, the latest first. */
+  List<JobAnswer> list(@Nullable String team, int limit) {
+    synchronized (lock) {
+      return jobs.all().stream()
+          .filter(job -> team == null || job.spec().request().team().equals(team))
+          .sorted((left, right) -> Long.compare(right.acceptedMs(), left.acceptedMs()))
+          .limit(limit)
+          .map(Job::answer)
+          .toList();
+    }
+  }
+
+  /** Says why a job is where it is, or empty if there is no such job. */
+  Optional<List<String>> explain(RequestKey request) {
+    synchronized (lock) {
+      Job job = jobs.byKey(request);
+      if (job == null) {
+        return Optional.empty();
+      }
+      List<String> lines = new ArrayList<>(JobExplanation.of(job, settled));
+      lines.addAll(context.scheduler().explain(job.jobId(), context.clockMs().getAsLong()));
+      return Optional.of(lines);
+    }
+  }
+
+  /** Takes in what a held worker listed. */
+  void synced(WorkerAgent agent, @Nullable WorkerProfile profile, long sentMs, SyncReply reply) {
+    synchronized (lock) {
+      if (closed) {
+        return;
+      }
+      if (profile != null) {
+        context.scheduler().workerSeen(profile, context.clockMs().getAsLong());
+      }
+      runner.synced(agent, sentMs, reply);
+    }
+    pump();
+  }
+
+  /** Tells that a worker can't be given tasks at present. */
+  void workerLost(String workerId) {
+    synchronized (lock) {
+      context.scheduler().workerLost(workerId);
+    }
+  }
+
+  /** Returns the tasks on a worker whose leases are to be renewed; none without authority. */
+  List<String> renewals(String workerId) {
+    if (!context.hasAuthority()) {
+      return List.of();
+    }
+    synchronized (lock) {
+      return closed ? List.of() : List.copyOf(jobs.on(workerId).keySet());
+    }
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param allListed whether every known worker has been listed in this term
+   */
+  void tick(boolean allListed) {
+    long nowMs = context.clockMs().getAsLong();
+    synchronized (lock) {
+      if (closed) {
+        return;
+      }
+      if (!settled && (allListed || nowMs > startedMs + context.settings().lapseMs())) {
+        settled = true;
+        jobs.all().forEach(runner::enqueue);
+      }
+      runner.expire(nowMs);
+    }
+    pump();
+  }
+
+  /** Ends the term. Waiting questions are failed, so that they go to the next coordinator. */
+  void close() {
+    List<CompletableFuture<JobAnswer>> waiters = new ArrayList<>();
+    synchronized (lock) {
+      closed = true;
+      jobs.all().forEach(job -> waiters.addAll(job.takeWaiters()));
+    }
+    waiters.forEach(waiter -> waiter.completeExceptionally(new TermEndedException()));
+  }
+
+  /** Returns how many jobs have not ended. */
+  int openJobs() {
+    synchronized (lock) {
+      return (int) jobs.all().stream().filter(job -> !job.ended()).count();
+    }
+  }
+
+  /** Returns how many tasks a worker may hold. */
+  int tasksOn(String workerId) {
+    synchronized (lock) {
+      return jobs.on(workerId).size();
+    }
+  }
+
+  boolean settled() {
+    synchronized (lock) {
+      return settled;
+    }
+  }
+
+  private void pump() {
+    List<Runnable> calls;
+    synchronized (lock) {
+      if (settled && !closed && context.hasAuthority()) {
+        for (Decision decision : context.scheduler().decide(context.clockMs().getAsLong())) {
+          runner.carryOut(decision);
+        }
+      }
+      calls = runner.takeCalls();
+    }
+    calls.forEach(Runnable::run);
+  }
+
+  private CompletableFuture<JobAnswer> await(Job job, long waitMs) {
+    boolean over = job.ended() || waitMs <= 0 || job.state() == JobState.IN_DOUBT;
+    if (over) {
+      return CompletableFuture.completedFuture(job.answer());
+    }
+    CompletableFuture<JobAnswer> waiter = new CompletableFuture<>();
+    job.await(waiter);
+    CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+    waiter
+        .orTimeout(waitMs, TimeUnit.MILLISECONDS)
+        .whenComplete((ended, failure) -> settle(answer, job, ended, failure));
+    return answer;
+  }
+
+  private void settle(
+      CompletableFuture<JobAnswer> answer,
+      Job job,
+      @Nullable JobAnswer ended,
+      @Nullable Throwable failure) {
+    if (ended != null) {
+      answer.complete(ended);
+    } else if (WorkerAgent.unwrap(failure) instanceof TermEndedException e) {
+      answer.completeExceptionally(e);
+    } else {
+      synchronized (lock) {
+        answer.complete(job.answer());
+      }
+    }
+  }
+
+  private static JobAnswer reused(Job known) {
+    return JobAnswer.notRun(
+        known.spec().request(),
+        ReasonType.KEY_REUSED,
+        "expected the record that first came with key "
+            + known.spec().request()
+            + ", got another; use a new key for a new request",
+        0);
+  }
+
+  private static JobAnswer refused(JobSpec spec, Admission admission) {
+    return JobAnswer.notRun(
+        spec.request(),
+        admission.reason().type(),
+        admission.reason().message(),
+        admission.retryAfterMs());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
@@ -0,0 +1,146 @@
+package org.hickorymoor.daemon.coordinator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobKind;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.TaskStatus;
+
+/** What a coordinator knows of one job. Guarded by the lock of its cell. */
+final class Job {
+
+  private final String jobId;
+  private final JobSpec spec;
+  private final long acceptedMs;
+  private final List<JobTask> tasks;
+  private final List<CompletableFuture<JobAnswer>> waiters = new ArrayList<>();
+  private Reason reason = Reason.NONE;
+  private boolean cancelled;
+  private boolean ended;
+  private boolean queued;
+  private boolean wanted;
+  private long endedMs;
+
+  Job(String jobId, JobSpec spec, long acceptedMs) {
+    this.jobId = jobId;
+    this.spec = spec;
+    this.acceptedMs = acceptedMs;
+    this.tasks = IntStream.range(0, spec.taskCount()).mapToObj(JobTask::new).toList();
+  }
+
+  String jobId() {
+    return jobId;
+  }
+
+  JobSpec spec() {
+    return spec;
+  }
+
+  long acceptedMs() {
+    return acceptedMs;
+  }
+
+  List<JobTask> tasks() {
+    return tasks;
+  }
+
+  Reason reason() {
+    return reason;
+  }
+
+  void reason(Reason newReason) {
+    reason = newReason;
+  }
+
+  boolean cancelled() {
+    return cancelled;
+  }
+
+  void cancel() {
+    cancelled = true;
+  }
+
+  boolean ended() {
+    return ended;
+  }
+
+  long endedMs() {
+    return endedMs;
+  }
+
+  void end(long nowMs) {
+    ended = true;
+    endedMs = nowMs;
+  }
+
+  /**
+   * Tells whether somebody asked for the job in this term, or the log says that it is open. A job
+   * that is known from the tasks on workers alone may have ended long ago.
+   */
+  boolean wanted() {
+    return wanted;
+  }
+
+  void want() {
+    wanted = true;
+  }
+
+  /** Tells whether the scheduler has been given the job's tasks. */
+  boolean queued() {
+    return queued;
+  }
+
+  void queued(boolean given) {
+    queued = given;
+  }
+
+  void await(CompletableFuture<JobAnswer> waiter) {
+    waiters.add(waiter);
+  }
+
+  List<CompletableFuture<JobAnswer>> takeWaiters() {
+    List<CompletableFuture<JobAnswer>> taken = List.copyOf(waiters);
+    waiters.clear();
+    return taken;
+  }
+
+  boolean all(JobTask.Phase phase) {
+    return tasks.stream().allMatch(task -> task.phase() == phase);
+  }
+
+  boolean any(JobTask.Phase phase) {
+    return tasks.stream().anyMatch(task -> task.phase() == phase);
+  }
+
+  boolean allEnded() {
+    return tasks.stream().allMatch(task -> task.phase().isEnded());
+  }
+
+  JobState state() {
+    if (any(JobTask.Phase.IN_DOUBT)) {
+      return JobState.IN_DOUBT;
+    }
+    if (!allEnded()) {
+      boolean started = tasks.stream().anyMatch(task -> task.status().attempts() > 0);
+      return started ? JobState.RUNNING : JobState.ACCEPTED;
+    }
+    if (all(JobTask.Phase.SUCCEEDED)) {
+      return JobState.DONE;
+    }
+    return all(JobTask.Phase.NOT_RUN) ? JobState.NOT_RUN : JobState.FAILED;
+  }
+
+  JobAnswer answer() {
+    List<TaskStatus> statuses = tasks.stream().map(JobTask::status).toList();
+    return new JobAnswer(spec.request(), jobId, state(), reason, 0, statuses);
+  }
+
+  boolean isService() {
+    return spec.kind() == JobKind.SERVICE;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
@@ -0,0 +1,62 @@
+package org.hickorymoor.daemon.coordinator;
+
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.TaskId;
+import org.hickorymoor.protocol.platform.EndedTask;
+
+/**
+ * Keeps in the platform's log what must outlast every host.
+ *
+ * <p>Every future fails with a {@link JournalException} and with nothing else. Safe for use by
+ * several threads.
+ */
+interface JobJournal {
+
+  /**
+   * Claims the key of a job that must run at most once, for this failure domain.
+   *
+   * @param jobId the job
+   * @param spec what it is
+   * @return completes with the job id under which the domain holds the claim, which differs from
+   *     {@code jobId} if it was claimed earlier
+   */
+  CompletableFuture<String> claim(String jobId, JobSpec spec);
+
+  /**
+   * Records that a job was taken on.
+   *
+   * @param jobId the job
+   * @param spec what it is
+   * @return completes when the record stands in the log
+   */
+  CompletableFuture<Void> accepted(String jobId, JobSpec spec);
+
+  /**
+   * Records that an attempt is about to be started, and checks that no other host has taken over.
+   *
+   * @param task the attempt
+   * @param workerId where
+   * @param workerIncarnation which life of the worker
+   * @return completes when the start may be sent
+   */
+  CompletableFuture<Void> placed(TaskId task, String workerId, String workerIncarnation);
+
+  /**
+   * Records the end of an attempt.
+   *
+   * @param task the attempt
+   * @param ended how it ended
+   * @return completes when the record stands in the log
+   */
+  CompletableFuture<Void> ended(TaskId task, EndedTask ended);
+
+  /**
+   * Records the last answer about a job.
+   *
+   * @param answer the answer, its outputs left out
+   * @return completes when the record stands in the log
+   */
+  CompletableFuture<Void> finished(JobAnswer answer);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JournalException.java
@@ -0,0 +1,39 @@
+package org.hickorymoor.daemon.coordinator;
+
+/** Tells that something could not be recorded in the log. */
+final class JournalException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  /** What went wrong. */
+  enum Type {
+    /** The log can't be reached; the record is certainly not in force. */
+    LOG_OUT,
+
+    /** The record may stand in the log; it is known once the log answers again. */
+    UNKNOWN,
+
+    /** Another failure domain claimed the key first; the message names it. */
+    CLAIMED_ELSEWHERE,
+
+    /** Another host has taken over the failure domain. */
+    SUPERSEDED
+  }
+
+  private final Type type;
+  private final String explanation;
+
+  JournalException(Type type, String explanation) {
+    super(explanation);
+    this.type = type;
+    this.explanation = explanation;
+  }
+
+  String explanation() {
+    return explanation;
+  }
+
+  Type type() {
+    return type;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerTable.java
@@ -0,0 +1,126 @@
+package org.hickorymoor.daemon.coordinator;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import org.hickorymoor.daemon.port.WorkerPort;
+import org.hickorymoor.domain.policy.WorkerProfile;
+import org.hickorymoor.protocol.platform.HostEntry;
+import org.hickorymoor.protocol.platform.HostState;
+import org.hickorymoor.protocol.platform.WorkerInfo;
+import org.jspecify.annotations.Nullable;
+
+/** The workers of the failure domain, their agents and what is declared of them. Thread-safe. */
+final class WorkerTable {
+
+  private static final long INFO_RETRY_MS = 500;
+
+  /** One worker. */
+  private static final class Row {
+    private final WorkerAgent agent;
+    private volatile boolean leaving;
+    private volatile @Nullable WorkerInfo info;
+    private volatile long askAgainMs = Long.MIN_VALUE;
+
+    private Row(WorkerAgent agent) {
+      this.agent = agent;
+    }
+  }
+
+  private final CoordinatorSettings settings;
+  private final WorkerPort port;
+  private final LongSupplier clockMs;
+  private final Jitter jitter;
+  private final WorkerAgent.Listener listener;
+  private final Map<String, Row> rows = new ConcurrentHashMap<>();
+  private final Set<String> drained = ConcurrentHashMap.newKeySet();
+
+  WorkerTable(
+      CoordinatorSettings settings,
+      WorkerPort port,
+      LongSupplier clockMs,
+      Jitter jitter,
+      WorkerAgent.Listener listener) {
+    this.settings = settings;
+    this.port = port;
+    this.clockMs = clockMs;
+    this.jitter = jitter;
+    this.listener = listener;
+  }
+
+  /**
+   * Takes in the platform's list.
+   *
+   * @param hosts the workers of the failure domain
+   * @return agents of workers that were not known before
+   */
+  List<WorkerAgent> update(Collection<HostEntry> hosts) {
+    List<WorkerAgent> added = new ArrayList<>();
+    for (HostEntry host : hosts) {
+      Row row = rows.get(host.hostId());
+      if (row == null) {
+        row = new Row(newAgent(host));
+        rows.put(host.hostId(), row);
+        added.add(row.agent);
+      }
+      row.agent.moveTo(host.address());
+      row.leaving = host.state() == HostState.LEAVING;
+    }
+    Set<String> listed = Set.copyOf(hosts.stream().map(HostEntry::hostId).toList());
+    rows.entrySet().removeIf(row -> !listed.contains(row.getKey()) && !row.getValue().agent.held());
+    return added;
+  }
+
+  private WorkerAgent newAgent(HostEntry host) {
+    return new WorkerAgent(
+        host.hostId(), host.address(), settings, port, clockMs, jitter, listener);
+  }
+
+  /** Asks workers about themselves that have not answered yet. */
+  void askProfiles() {
+    long nowMs = clockMs.getAsLong();
+    for (Row row : rows.values()) {
+      if (row.info == null && nowMs >= row.askAgainMs) {
+        row.askAgainMs = nowMs + INFO_RETRY_MS + settings.callTimeoutMs();
+        port.info(row.agent.address(), settings.callTimeoutMs())
+            .thenAccept(info -> row.info = info);
+      }
+    }
+  }
+
+  void drain(String workerId, boolean drain) {
+    if (drain) {
+      drained.add(workerId);
+    } else {
+      drained.remove(workerId);
+    }
+  }
+
+  List<WorkerAgent> agents() {
+    return rows.values().stream().map(row -> row.agent).toList();
+  }
+
+  int size() {
+    return rows.size();
+  }
+
+  @Nullable WorkerAgent agent(String workerId) {
+    Row row = rows.get(workerId);
+    return row == null ? null : row.agent;
+  }
+
+  /** Returns what is declared of a worker, or null if it has not said. */
+  @Nullable WorkerProfile profile(String workerId) {
+    Row row = rows.get(workerId);
+    WorkerInfo info = row == null ? null : row.info;
+    if (row == null || info == null) {
+      return null;
+    }
+    boolean leaving = row.leaving || drained.contains(workerId);
+    return new WorkerProfile(workerId, info.rack(), info.capacity(), leaving);
+  }
+}
