--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerSettings.java
@@ -0,0 +1,215 @@
+package org.hickorymoor.daemon.peer;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Times and limits of the peer transport.
+ *
+ * <pre>{@code
+ * PeerSettings settings = PeerSettings.defaults("kano", "north").withHeartbeat(500, 1_500);
+ * }</pre>
+ *
+ * @param domain own failure domain, told to peers so that they count traffic per link
+ * @param region own region, told to peers likewise
+ * @param heartbeatMs a heartbeat is sent when nothing else was sent for this time
+ * @param heartbeatTimeoutMs a connection on which nothing arrived for this time is closed
+ * @param connectTimeoutMs longest time for a connection to be made
+ * @param minBackoffMs wait after the first failed connect
+ * @param maxBackoffMs longest wait after failed connects
+ * @param idleCloseMs a client closes a connection without calls after this time
+ * @param stopGraceMs how long a stop waits for calls in flight
+ * @param maxFrameBytes largest frame, header included
+ * @param maxOutboundBytes most bytes that wait to be sent on one connection
+ * @param maxInFlight most unanswered calls on one connection
+ * @param maxConnections most connections that a server holds
+ * @param maxVersion newest frame version to speak
+ */
+public record PeerSettings(
+    String domain,
+    String region,
+    long heartbeatMs,
+    long heartbeatTimeoutMs,
+    long connectTimeoutMs,
+    long minBackoffMs,
+    long maxBackoffMs,
+    long idleCloseMs,
+    long stopGraceMs,
+    int maxFrameBytes,
+    int maxOutboundBytes,
+    int maxInFlight,
+    int maxConnections,
+    int maxVersion) {
+
+  private static final long HEARTBEAT_MS = 1_000;
+  private static final long HEARTBEAT_TIMEOUT_MS = 3_000;
+  private static final long CONNECT_TIMEOUT_MS = 1_000;
+  private static final long MIN_BACKOFF_MS = 50;
+  private static final long MAX_BACKOFF_MS = 2_000;
+  private static final long IDLE_CLOSE_MS = 300_000;
+  private static final long STOP_GRACE_MS = 5_000;
+  private static final int MAX_FRAME_BYTES = 1 << 20;
+  private static final int MAX_OUTBOUND_BYTES = 4 << 20;
+  private static final int MAX_IN_FLIGHT = 4_096;
+  private static final int MAX_CONNECTIONS = 256;
+
+  /** Checks the ranges. */
+  public PeerSettings {
+    requireNonNull(domain, "domain");
+    requireNonNull(region, "region");
+    checkArgument(heartbeatMs >= 1, "heartbeatMs must be at least 1, got %s", heartbeatMs);
+    checkArgument(
+        heartbeatTimeoutMs >= 2 * heartbeatMs,
+        "heartbeatTimeoutMs must be at least twice heartbeatMs (%s), got %s",
+        heartbeatMs,
+        heartbeatTimeoutMs);
+    checkArgument(
+        connectTimeoutMs >= 1, "connectTimeoutMs must be at least 1, got %s", connectTimeoutMs);
+    checkArgument(minBackoffMs >= 1, "minBackoffMs must be at least 1, got %s", minBackoffMs);
+    checkArgument(
+        maxBackoffMs >= minBackoffMs,
+        "maxBackoffMs must be at least minBackoffMs (%s), got %s",
+        minBackoffMs,
+        maxBackoffMs);
+    checkArgument(idleCloseMs >= 1, "idleCloseMs must be at least 1, got %s", idleCloseMs);
+    checkArgument(stopGraceMs >= 0, "stopGraceMs must not be negative, got %s", stopGraceMs);
+    checkArgument(maxFrameBytes >= 64, "maxFrameBytes must be at least 64, got %s", maxFrameBytes);
+    checkArgument(
+        maxOutboundBytes >= maxFrameBytes,
+        "maxOutboundBytes must be at least maxFrameBytes (%s), got %s",
+        maxFrameBytes,
+        maxOutboundBytes);
+    checkArgument(maxInFlight >= 1, "maxInFlight must be at least 1, got %s", maxInFlight);
+    checkArgument(maxConnections >= 1, "maxConnections must be at least 1, got %s", maxConnections);
+    checkArgument(
+        maxVersion >= BodyVersion.OLDEST && maxVersion <= BodyVersion.NEWEST,
+        "maxVersion must be from %s to %s, got %s",
+        BodyVersion.OLDEST,
+        BodyVersion.NEWEST,
+        maxVersion);
+  }
+
+  /**
+   * Returns the defaults.
+   *
+   * @param domain own failure domain
+   * @param region own region
+   * @return the settings
+   */
+  public static PeerSettings defaults(String domain, String region) {
+    return new PeerSettings(
+        domain,
+        region,
+        HEARTBEAT_MS,
+        HEARTBEAT_TIMEOUT_MS,
+        CONNECT_TIMEOUT_MS,
+        MIN_BACKOFF_MS,
+        MAX_BACKOFF_MS,
+        IDLE_CLOSE_MS,
+        STOP_GRACE_MS,
+        MAX_FRAME_BYTES,
+        MAX_OUTBOUND_BYTES,
+        MAX_IN_FLIGHT,
+        MAX_CONNECTIONS,
+        BodyVersion.NEWEST);
+  }
+
+  /**
+   * Returns these settings with other heartbeat times.
+   *
+   * @param heartbeatMs time without sending after which a heartbeat is sent
+   * @param heartbeatTimeoutMs silence after which a connection is closed
+   * @return the settings
+   */
+  public PeerSettings withHeartbeat(long heartbeatMs, long heartbeatTimeoutMs) {
+    return new PeerSettings(
+        domain,
+        region,
+        heartbeatMs,
+        heartbeatTimeoutMs,
+        connectTimeoutMs,
+        minBackoffMs,
+        maxBackoffMs,
+        idleCloseMs,
+        stopGraceMs,
+        maxFrameBytes,
+        maxOutboundBytes,
+        maxInFlight,
+        maxConnections,
+        maxVersion);
+  }
+
+  /**
+   * Returns these settings with another grace time.
+   *
+   * @param stopGraceMs how long a stop waits for calls in flight
+   * @return the settings
+   */
+  public PeerSettings withStopGraceMs(long stopGraceMs) {
+    return new PeerSettings(
+        domain,
+        region,
+        heartbeatMs,
+        heartbeatTimeoutMs,
+        connectTimeoutMs,
+        minBackoffMs,
+        maxBackoffMs,
+        idleCloseMs,
+        stopGraceMs,
+        maxFrameBytes,
+        maxOutboundBytes,
+        maxInFlight,
+        maxConnections,
+        maxVersion);
+  }
+
+  /**
+   * Returns these settings with other limits of memory.
+   *
+   * @param maxFrameBytes largest frame, header included
+   * @param maxOutboundBytes most bytes that wait to be sent on one connection
+   * @param maxInFlight most unanswered calls on one connection
+   * @return the settings
+   */
+  public PeerSettings withLimits(int maxFrameBytes, int maxOutboundBytes, int maxInFlight) {
+    return new PeerSettings(
+        domain,
+        region,
+        heartbeatMs,
+        heartbeatTimeoutMs,
+        connectTimeoutMs,
+        minBackoffMs,
+        maxBackoffMs,
+        idleCloseMs,
+        stopGraceMs,
+        maxFrameBytes,
+        maxOutboundBytes,
+        maxInFlight,
+        maxConnections,
+        maxVersion);
+  }
+
+  /**
+   * Returns these settings with another newest frame version.
+   *
+   * @param maxVersion newest frame version to speak
+   * @return the settings
+   */
+  public PeerSettings withMaxVersion(int maxVersion) {
+    return new PeerSettings(
+        domain,
+        region,
+        heartbeatMs,
+        heartbeatTimeoutMs,
+        connectTimeoutMs,
+        minBackoffMs,
+        maxBackoffMs,
+        idleCloseMs,
+        stopGraceMs,
+        maxFrameBytes,
+        maxOutboundBytes,
+        maxInFlight,
+        maxConnections,
+        maxVersion);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -0,0 +1,138 @@
+package org.hickorymoor.daemon.peer;
+
+import java.io.IOException;
+import org.hickorymoor.daemon.peer.PeerRequest.CancelJob;
+import org.hickorymoor.daemon.peer.PeerRequest.DrainWorker;
+import org.hickorymoor.daemon.peer.PeerRequest.ExplainJob;
+import org.hickorymoor.daemon.peer.PeerRequest.FetchConfig;
+import org.hickorymoor.daemon.peer.PeerRequest.FetchIntents;
+import org.hickorymoor.daemon.peer.PeerRequest.GetJob;
+import org.hickorymoor.daemon.peer.PeerRequest.ListJobs;
+import org.hickorymoor.daemon.peer.PeerRequest.ListWorkers;
+import org.hickorymoor.daemon.peer.PeerRequest.Status;
+import org.hickorymoor.daemon.peer.PeerRequest.StoreIntent;
+import org.hickorymoor.daemon.peer.PeerRequest.SubmitJob;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Packs requests. A tag, once given, is never given to another request. */
+final class RequestCodec {
+
+  /** Number of fields of a status, which also travels in replies. */
+  static final int STATUS_FIELDS = 7;
+
+  /** Packs every request. */
+  static final TaggedCodec<PeerRequest> CODEC =
+      new TaggedCodec<PeerRequest>()
+          .add(1, STATUS_FIELDS, Status.class, RequestCodec::writeStatus, RequestCodec::readStatus)
+          .add(2, 4, SubmitJob.class, RequestCodec::writeSubmit, RequestCodec::readSubmit)
+          .add(3, 2, GetJob.class, RequestCodec::writeGet, RequestCodec::readGet)
+          .add(4, 2, CancelJob.class, RequestCodec::writeCancel, RequestCodec::readCancel)
+          .add(5, 2, ListJobs.class, RequestCodec::writeListJobs, RequestCodec::readListJobs)
+          .add(
+              6,
+              1,
+              ExplainJob.class,
+              (out, explain) -> Fields.writeKey(out, explain.request()),
+              in -> new ExplainJob(Fields.readKey(in)))
+          .add(7, 0, ListWorkers.class, (out, list) -> {}, in -> new ListWorkers())
+          .add(8, 2, FetchConfig.class, RequestCodec::writeFetch, RequestCodec::readFetch)
+          .add(9, 3, DrainWorker.class, RequestCodec::writeDrain, RequestCodec::readDrain)
+          .add(10, 2, StoreIntent.class, RequestCodec::writeStore, RequestCodec::readStore)
+          .add(
+              11,
+              1,
+              FetchIntents.class,
+              (out, fetch) -> out.packString(fetch.domain()),
+              in -> new FetchIntents(in.unpackString()));
+
+  private RequestCodec() {}
+
+  static void writeStatus(MessagePacker out, Status status) throws IOException {
+    out.packString(status.hostId());
+    out.packString(status.incarnation());
+    out.packString(status.domain());
+    out.packBoolean(status.coordinator());
+    out.packInt(status.workersOwned());
+    out.packLong(status.configOffset());
+    out.packBoolean(status.leaving());
+  }
+
+  static Status readStatus(MessageUnpacker in) throws IOException {
+    return new Status(
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackBoolean(),
+        in.unpackInt(),
+        in.unpackLong(),
+        in.unpackBoolean());
+  }
+
+  private static void writeSubmit(MessagePacker out, SubmitJob submit) throws IOException {
+    out.packString(submit.jobId());
+    out.packString(submit.entryHostId());
+    JobFields.writeSpec(out, submit.spec());
+    out.packLong(submit.waitMs());
+  }
+
+  private static SubmitJob readSubmit(MessageUnpacker in) throws IOException {
+    return new SubmitJob(
+        in.unpackString(), in.unpackString(), JobFields.readSpec(in), in.unpackLong());
+  }
+
+  private static void writeGet(MessagePacker out, GetJob get) throws IOException {
+    Fields.writeKey(out, get.request());
+    out.packLong(get.waitMs());
+  }
+
+  private static GetJob readGet(MessageUnpacker in) throws IOException {
+    return new GetJob(Fields.readKey(in), in.unpackLong());
+  }
+
+  private static void writeCancel(MessagePacker out, CancelJob cancel) throws IOException {
+    Fields.writeKey(out, cancel.request());
+    out.packString(cancel.actor());
+  }
+
+  private static CancelJob readCancel(MessageUnpacker in) throws IOException {
+    return new CancelJob(Fields.readKey(in), in.unpackString());
+  }
+
+  private static void writeListJobs(MessagePacker out, ListJobs list) throws IOException {
+    Fields.writeText(out, list.team());
+    out.packInt(list.limit());
+  }
+
+  private static ListJobs readListJobs(MessageUnpacker in) throws IOException {
+    return new ListJobs(Fields.readText(in), in.unpackInt());
+  }
+
+  private static void writeFetch(MessagePacker out, FetchConfig fetch) throws IOException {
+    out.packLong(fetch.afterOffset());
+    out.packInt(fetch.maxRecords());
+  }
+
+  private static FetchConfig readFetch(MessageUnpacker in) throws IOException {
+    return new FetchConfig(in.unpackLong(), in.unpackInt());
+  }
+
+  private static void writeDrain(MessagePacker out, DrainWorker drain) throws IOException {
+    out.packString(drain.workerId());
+    out.packBoolean(drain.drain());
+    out.packString(drain.actor());
+  }
+
+  private static DrainWorker readDrain(MessageUnpacker in) throws IOException {
+    return new DrainWorker(in.unpackString(), in.unpackBoolean(), in.unpackString());
+  }
+
+  private static void writeStore(MessagePacker out, StoreIntent store) throws IOException {
+    out.packString(store.domain());
+    Fields.writeTexts(out, store.entries());
+  }
+
+  private static StoreIntent readStore(MessageUnpacker in) throws IOException {
+    return new StoreIntent(in.unpackString(), Fields.readTexts(in));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/package-info.java
@@ -0,0 +1,5 @@
+/** How daemons talk to each other: MessagePack in length-prefixed frames over TCP. */
+@NullMarked
+package org.hickorymoor.daemon.peer;
+
+import org.jspecify.annotations.NullMarked;
