--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.JobState;
@@ -212,6 +213,22 @@
     }
   }
 
+  /** Returns what a worker is thought to hold. */
+  Resources learnedCapacity(String workerId) {
+    synchronized (lock) {
+      return context.scheduler().learnedCapacity(workerId);
+    }
+  }
+
+  /** Returns the declared needs of all tasks that a worker may hold. */
+  Resources inUse(String workerId) {
+    synchronized (lock) {
+      return jobs.on(workerId).values().stream()
+          .map(entry -> entry.job().spec().demand())
+          .reduce(Resources.NONE, Resources::plus);
+    }
+  }
+
   boolean settled() {
     synchronized (lock) {
       return settled;
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/BadCallException.java
@@ -0,0 +1,13 @@
+package org.hickorymoor.daemon.http;
+
+import org.jspecify.annotations.Nullable;
+
+/** Tells that a path, a query parameter or a header has a mistake. */
+final class BadCallException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  BadCallException(String message, @Nullable Throwable cause) {
+    super(message, cause);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/CellResource.java
@@ -0,0 +1,95 @@
+package org.hickorymoor.daemon.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.hickorymoor.daemon.entry.Routed;
+import org.hickorymoor.daemon.entry.Router;
+import org.hickorymoor.daemon.peer.PeerReply;
+import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.protocol.caller.ErrorTypes;
+
+/** Serves {@code /v1/workers}, {@code /v1/cell}, {@code /healthz}, {@code /readyz} and metrics. */
+final class CellResource implements HttpInterface.Resource {
+
+  private static final long ASK_WITHIN_MS = 5_000;
+  private static final int DRAIN_SEGMENTS = 4;
+
+  private final String domain;
+  private final Router router;
+  private final Views views;
+
+  /**
+   * What the process says of itself.
+   *
+   * @param cell fields of {@code /v1/cell}
+   * @param metrics fields of {@code /metrics}
+   * @param ready whether callers should be sent here
+   */
+  record Views(
+      Supplier<Map<String, Object>> cell,
+      Supplier<Map<String, Object>> metrics,
+      Supplier<Boolean> ready) {}
+
+  CellResource(String domain, Router router, Views views) {
+    this.domain = domain;
+    this.router = router;
+    this.views = views;
+  }
+
+  @Override
+  public boolean handle(HttpCall call) {
+    String target = call.method() + " /" + String.join("/", call.path());
+    switch (target) {
+      case "GET /healthz" -> call.text(HttpCall.OK, "ok\n");
+      case "GET /readyz" -> ready(call);
+      case "GET /metrics" -> call.reply(HttpCall.OK, views.metrics().get());
+      case "GET /v1/cell" -> call.reply(HttpCall.OK, views.cell().get());
+      case "GET /v1/workers" ->
+          router
+              .route(domain, new PeerRequest.ListWorkers(), ASK_WITHIN_MS)
+              .thenAccept(routed -> reply(call, routed));
+      default -> {
+        return drain(call);
+      }
+    }
+    return true;
+  }
+
+  private void ready(HttpCall call) {
+    boolean ready = views.ready().get();
+    call.text(ready ? HttpCall.OK : HttpCall.UNAVAILABLE, ready ? "ready\n" : "not ready\n");
+  }
+
+  private boolean drain(HttpCall call) {
+    List<String> path = call.path();
+    boolean undo = call.method().equals("DELETE");
+    boolean matches =
+        path.size() == DRAIN_SEGMENTS
+            && path.get(0).equals("v1")
+            && path.get(1).equals("workers")
+            && path.get(3).equals("drain")
+            && (undo || call.method().equals("PUT"));
+    if (matches) {
+      router
+          .route(
+              domain, new PeerRequest.DrainWorker(path.get(2), !undo, call.actor()), ASK_WITHIN_MS)
+          .thenAccept(routed -> reply(call, routed));
+    }
+    return matches;
+  }
+
+  private static void reply(HttpCall call, Routed routed) {
+    PeerReply reply = routed.reply();
+    if (reply instanceof PeerReply.WorkerListReply list) {
+      call.reply(HttpCall.OK, Map.of("workers", list.workers()));
+    } else if (reply instanceof PeerReply.Done) {
+      call.reply(HttpCall.OK, Map.of("done", true));
+    } else if (reply instanceof PeerReply.Refused refused) {
+      call.error(HttpCall.NOT_FOUND, ErrorTypes.UNKNOWN_WORKER, refused.message());
+    } else {
+      String message = "no coordinator of the failure domain could be reached; try again";
+      call.error(HttpCall.UNAVAILABLE, ErrorTypes.UNAVAILABLE, message);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpCall.java
@@ -0,0 +1,120 @@
+package org.hickorymoor.daemon.http;
+
+import java.util.List;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+import org.hickorymoor.protocol.caller.CallerJson;
+import org.hickorymoor.protocol.caller.ErrorBody;
+import org.hickorymoor.protocol.caller.ErrorTypes;
+import org.jspecify.annotations.Nullable;
+
+/** One call over HTTP and the way to answer it, once, from any thread. */
+final class HttpCall {
+
+  static final int OK = 200;
+  static final int ACCEPTED = 202;
+  static final int BAD_REQUEST = 400;
+  static final int NOT_FOUND = 404;
+  static final int CONFLICT = 409;
+  static final int TOO_LARGE = 413;
+  static final int TOO_MANY = 429;
+  static final int FAILED = 500;
+  static final int UNAVAILABLE = 503;
+
+  private static final String ACTOR_HEADER = "Hickorymoor-Actor";
+  private static final String ANONYMOUS = "anonymous";
+  private static final long MS_PER_S = 1_000;
+
+  private final Request request;
+  private final Response response;
+  private final Callback callback;
+  private final String body;
+  private final List<String> path;
+
+  HttpCall(Request request, Response response, Callback callback, String body) {
+    this.request = request;
+    this.response = response;
+    this.callback = callback;
+    this.body = body;
+    String text = Request.getPathInContext(request);
+    this.path = List.of(text.substring(1).split("/", -1));
+  }
+
+  String method() {
+    return request.getMethod();
+  }
+
+  /** Returns the segments of the path. */
+  List<String> path() {
+    return path;
+  }
+
+  String body() {
+    return body;
+  }
+
+  String actor() {
+    String actor = request.getHeaders().get(ACTOR_HEADER);
+    return actor == null || actor.isBlank() ? ANONYMOUS : actor;
+  }
+
+  @Nullable String query(String name) {
+    Fields fields = Request.extractQueryParameters(request);
+    return fields.getValue(name);
+  }
+
+  /** Reads a whole number from the query; a larger one counts as the largest. */
+  long number(String name, long fallback, long largest) throws BadCallException {
+    String text = query(name);
+    if (text == null) {
+      return fallback;
+    }
+    try {
+      long value = Long.parseLong(text);
+      if (value >= 0) {
+        return Math.min(value, largest);
+      }
+    } catch (NumberFormatException e) {
+      throw new BadCallException(expected(name, text), e);
+    }
+    throw new BadCallException(expected(name, text), null);
+  }
+
+  private static String expected(String name, String got) {
+    return "query parameter " + name + ": expected a whole number from 0, got " + got;
+  }
+
+  void retryAfter(long retryAfterMs) {
+    if (retryAfterMs > 0) {
+      long seconds = (retryAfterMs + MS_PER_S - 1) / MS_PER_S;
+      response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+    }
+  }
+
+  void reply(int status, Object answer) {
+    send(status, "application/json", CallerJson.toJson(answer));
+  }
+
+  void text(int status, String text) {
+    send(status, "text/plain", text);
+  }
+
+  void error(int status, String type, String message) {
+    reply(status, ErrorBody.of(type, message));
+  }
+
+  void unknownPath() {
+    String message = "nothing is at " + method() + " /" + String.join("/", path);
+    error(NOT_FOUND, ErrorTypes.UNKNOWN_PATH, message + "; see docs/API.md");
+  }
+
+  private void send(int status, String contentType, String text) {
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
+    Content.Sink.write(response, true, text, callback);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterface.java
@@ -0,0 +1,197 @@
+package org.hickorymoor.daemon.http;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.hickorymoor.protocol.caller.ErrorTypes;
+import org.hickorymoor.protocol.caller.JobRecordCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Serves callers and operators over HTTP.
+ *
+ * <p>Stopping closes the port to new connections first, then waits for calls in flight, and only
+ * then closes their connections. Safe for use by several threads.
+ */
+public final class HttpInterface {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_THREADS = 8;
+  private static final int MIN_THREADS = 2;
+  private static final int THREAD_IDLE_MS = 30_000;
+  private static final int CONNECTION_IDLE_MS = 120_000;
+  private static final int ACCEPT_QUEUE_SIZE = 512;
+  private static final long POLL_MS = 20;
+
+  /** Takes one kind of calls. */
+  @FunctionalInterface
+  interface Resource {
+
+    /**
+     * Answers a call, now or later, or leaves it to the next resource.
+     *
+     * @param call the call
+     * @return whether the call is this resource's
+     * @throws BadCallException if the call has a mistake
+     */
+    boolean handle(HttpCall call) throws BadCallException;
+  }
+
+  private final String bindHost;
+  private final int port;
+  private final List<Resource> resources;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private @Nullable Server server;
+  private @Nullable ServerConnector connector;
+
+  HttpInterface(String bindHost, int port, List<Resource> resources) {
+    this.bindHost = bindHost;
+    this.port = port;
+    this.resources = List.copyOf(resources);
+  }
+
+  /**
+   * Binds the port and serves.
+   *
+   * @throws IOException if the port can't be bound
+   */
+  public void start() throws IOException {
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MS);
+    threads.setName("http");
+    threads.setReservedThreads(0);
+    Server starting = new Server(threads);
+    ServerConnector listening = connector(starting);
+    starting.addConnector(listening);
+    starting.setHandler(new ToResources());
+    try {
+      starting.start();
+    } catch (Exception e) {
+      throw new IOException(
+          "expected to bind " + bindHost + ":" + port + " for HTTP; is the port taken?", e);
+    }
+    server = starting;
+    connector = listening;
+  }
+
+  /**
+   * Returns where it serves.
+   *
+   * @return {@code ip:port}
+   */
+  public String address() {
+    return bindHost + ":" + (connector == null ? port : connector.getLocalPort());
+  }
+
+  /**
+   * Waits until no call is in flight.
+   *
+   * @param withinMs longest time to wait
+   */
+  public void finishCalls(long withinMs) {
+    long endNs = System.nanoTime() + withinMs * 1_000_000;
+    while (inFlight.get() > 0 && System.nanoTime() < endNs) {
+      try {
+        Thread.sleep(POLL_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  /** Closes the port for new connections; open ones go on. */
+  public void refuseConnections() {
+    if (connector != null) {
+      connector.close();
+    }
+  }
+
+  /** Closes every connection. */
+  public void stop() {
+    Server stopping = server;
+    server = null;
+    if (stopping != null) {
+      try {
+        stopping.stop();
+      } catch (Exception e) {
+        logger.atWarning().withCause(e).log("http: Stop failed.");
+      }
+    }
+  }
+
+  private ServerConnector connector(Server owner) {
+    HttpConfiguration configuration = new HttpConfiguration();
+    configuration.setSendServerVersion(false);
+    configuration.setSendDateHeader(false);
+    ServerConnector listening =
+        new ServerConnector(owner, 0, 1, new HttpConnectionFactory(configuration));
+    listening.setHost(bindHost);
+    listening.setPort(port);
+    listening.setIdleTimeout(CONNECTION_IDLE_MS);
+    listening.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
+    listening.setReuseAddress(true);
+    return listening;
+  }
+
+  private void dispatch(HttpCall call) {
+    try {
+      for (Resource resource : resources) {
+        if (resource.handle(call)) {
+          return;
+        }
+      }
+      call.unknownPath();
+    } catch (BadCallException e) {
+      String message = String.valueOf(e.getMessage());
+      call.error(HttpCall.BAD_REQUEST, ErrorTypes.INVALID_REQUEST, message);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("http: Call failed.");
+      call.error(HttpCall.FAILED, ErrorTypes.INTERNAL, "the call failed: " + e);
+    }
+  }
+
+  /** Reads the body, bounded, then hands the call to the resources. */
+  private final class ToResources extends Handler.Abstract.NonBlocking {
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+      inFlight.incrementAndGet();
+      Callback counted = Callback.from(callback, inFlight::decrementAndGet);
+      long length = request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+      if (length > JobRecordCodec.MAX_BYTES) {
+        HttpCall call = new HttpCall(request, response, counted, "");
+        String message =
+            "expected a body of at most "
+                + JobRecordCodec.MAX_BYTES
+                + " bytes, got "
+                + length
+                + "; make the record smaller";
+        call.error(HttpCall.TOO_LARGE, ErrorTypes.TOO_LARGE, message);
+        return true;
+      }
+      Content.Source.asStringAsync(request, UTF_8)
+          .whenComplete(
+              (body, failure) -> {
+                if (failure == null) {
+                  dispatch(new HttpCall(request, response, counted, body));
+                } else {
+                  counted.failed(failure);
+                }
+              });
+      return true;
+    }
+  }
+}
