Carry peer calls over one long-lived connection per direction

Daemons call each other, and connections can go silent while writes succeed. A selector loop with one thread serves all connections of a client, another those of a server. Heartbeats in both directions find silence, each call has a deadline and ends in a reply or a typed failure that says whether it may have been carried out. Netty and a thread per connection were ruled out for memory.

--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerMetrics.java
@@ -0,0 +1,96 @@
+package org.hickorymoor.daemon.peer;
+
+import static java.util.Objects.requireNonNull;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Counts the transport's traffic and events, as {@code peer.<side>.<direction>.<purpose>.bytes} and
+ * {@code .messages}, {@code peer.<side>.<direction>.link.<region>.<domain>.bytes} and {@code
+ * peer.<side>.<event>}.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class PeerMetrics {
+
+  /** What can happen besides traffic. */
+  enum Event {
+    CONNECTED,
+    CONNECT_FAILED,
+    CLOSED_SILENT,
+    CLOSED_SLOW_READER,
+    CLOSED_MALFORMED,
+    REJECTED_CONNECTION,
+    REPLY_DROPPED,
+    REPLY_TOO_LARGE,
+    UNSUPPORTED_VERSION,
+    OVERLOADED,
+    DEADLINE_PASSED
+  }
+
+  /** Which way the bytes went. */
+  enum Direction {
+    SENT,
+    RECEIVED
+  }
+
+  private record Traffic(Counter bytes, Counter messages) {}
+
+  private final MetricRegistry registry;
+  private final String prefix;
+  private final Map<Event, Counter> events = new EnumMap<>(Event.class);
+  private final Map<Direction, Map<Purpose, Traffic>> traffic = new EnumMap<>(Direction.class);
+
+  /**
+   * Makes the counters.
+   *
+   * @param registry where they are registered
+   * @param side {@code client} or {@code server}
+   */
+  PeerMetrics(MetricRegistry registry, String side) {
+    this.registry = registry;
+    this.prefix = MetricRegistry.name("peer", side);
+    for (Event event : Event.values()) {
+      events.put(event, registry.counter(MetricRegistry.name(prefix, lowerCase(event))));
+    }
+    for (Direction direction : Direction.values()) {
+      traffic.put(direction, trafficOf(direction));
+    }
+  }
+
+  void count(Event event) {
+    requireNonNull(events.get(event)).inc();
+  }
+
+  void count(Direction direction, Purpose purpose, long bytes) {
+    Map<Purpose, Traffic> byPurpose = requireNonNull(traffic.get(direction));
+    Traffic counters = requireNonNull(byPurpose.get(purpose));
+    counters.bytes().inc(bytes);
+    counters.messages().inc();
+  }
+
+  /** Returns the counter of bytes of one link, so that traffic across regions can be billed. */
+  Counter linkBytes(Direction direction, String region, String domain) {
+    return registry.counter(
+        MetricRegistry.name(prefix, lowerCase(direction), "link", region, domain, "bytes"));
+  }
+
+  private Map<Purpose, Traffic> trafficOf(Direction direction) {
+    Map<Purpose, Traffic> counters = new EnumMap<>(Purpose.class);
+    for (Purpose purpose : Purpose.values()) {
+      String name = MetricRegistry.name(prefix, lowerCase(direction), purpose.metricName());
+      Counter bytes = registry.counter(MetricRegistry.name(name, "bytes"));
+      Counter messages = registry.counter(MetricRegistry.name(name, "messages"));
+      counters.put(purpose, new Traffic(bytes, messages));
+    }
+    return counters;
+  }
+
+  private static String lowerCase(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerServer.java
@@ -0,0 +1,213 @@
+package org.hickorymoor.daemon.peer;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import org.hickorymoor.daemon.peer.PeerMetrics.Event;
+import org.hickorymoor.daemon.peer.ServerConnection.Exchange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answers other daemons.
+ *
+ * <pre>{@code
+ * PeerServer server = new PeerServer("10.0.0.7:7400", handler, settings, metrics);
+ * server.start();
+ * }</pre>
+ *
+ * <p>Safe for use by several threads. A peer that sends what can't be read, reads too slowly or
+ * goes silent loses its connection and nothing else happens to the server.
+ */
+public final class PeerServer {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long DRAIN_CHECK_MS = 10;
+
+  private final String bindAddress;
+  private final PeerHandler handler;
+  private final PeerSettings settings;
+  private final PeerMetrics metrics;
+  private final Executor executor;
+  private final EventLoop loop;
+  private final Set<ServerConnection> connections = new HashSet<>();
+  private volatile @Nullable String address;
+  private boolean stopping;
+
+  /**
+   * Makes a server that calls the handler on its I/O thread, so that the handler must not block.
+   *
+   * @param bindAddress ip:port to listen on; port 0 for a free one
+   * @param handler answers requests
+   * @param settings times and limits
+   * @param metrics where counters are registered
+   * @throws IOException if the system gives no selector
+   */
+  public PeerServer(
+      String bindAddress, PeerHandler handler, PeerSettings settings, MetricRegistry metrics)
+      throws IOException {
+    this(bindAddress, handler, settings, metrics, Runnable::run);
+  }
+
+  /**
+   * Makes a server.
+   *
+   * @param bindAddress ip:port to listen on; port 0 for a free one
+   * @param handler answers requests
+   * @param settings times and limits
+   * @param metrics where counters are registered
+   * @param executor calls the handler
+   * @throws IOException if the system gives no selector
+   */
+  public PeerServer(
+      String bindAddress,
+      PeerHandler handler,
+      PeerSettings settings,
+      MetricRegistry metrics,
+      Executor executor)
+      throws IOException {
+    this.bindAddress = bindAddress;
+    this.handler = handler;
+    this.settings = settings;
+    this.metrics = new PeerMetrics(metrics, "server");
+    this.executor = executor;
+    this.loop = new EventLoop("peer-server");
+  }
+
+  /**
+   * Listens and starts to answer.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  public void start() throws IOException {
+    ServerSocketChannel acceptor = ServerSocketChannel.open();
+    acceptor.configureBlocking(false);
+    acceptor.bind(Addresses.parse(bindAddress));
+    address = Addresses.format((InetSocketAddress) acceptor.getLocalAddress());
+    loop.register(acceptor, SelectionKey.OP_ACCEPT, key -> accept(acceptor));
+    loop.start();
+    logger.atInfo().log("peer: listening on %s", address);
+  }
+
+  /**
+   * Returns where the server listens.
+   *
+   * @return ip:port
+   */
+  public String address() {
+    String bound = address;
+    checkState(bound != null, "expected a server that was started");
+    return bound;
+  }
+
+  /**
+   * Stops the server: new requests are refused with {@link PeerErrorType#STOPPING}, requests in
+   * flight are answered within the grace time, and peers close their connections when they have
+   * their replies.
+   */
+  public void stop() {
+    if (address != null) {
+      CompletableFuture<Void> drained = new CompletableFuture<>();
+      loop.execute(() -> beginStop(drained));
+      Waits.awaitQuietly(drained, settings.stopGraceMs());
+      loop.execute(this::closeAll);
+    }
+    loop.stop();
+    logger.atInfo().log("peer: stopped");
+  }
+
+  private void accept(ServerSocketChannel acceptor) throws IOException {
+    SocketChannel channel = acceptor.accept();
+    if (channel == null) {
+      return;
+    }
+    if (stopping || connections.size() >= settings.maxConnections()) {
+      metrics.count(Event.REJECTED_CONNECTION);
+      channel.close();
+      return;
+    }
+    channel.configureBlocking(false);
+    ServerConnection connection =
+        new ServerConnection(loop, channel, settings, metrics, new Dispatcher());
+    connections.add(connection);
+    metrics.count(Event.CONNECTED);
+    connection.start();
+  }
+
+  private void beginStop(CompletableFuture<Void> drained) {
+    stopping = true;
+    loop.closeAcceptors();
+    List.copyOf(connections).forEach(ServerConnection::goAway);
+    awaitDrained(drained);
+  }
+
+  private void awaitDrained(CompletableFuture<Void> drained) {
+    if (connections.isEmpty()) {
+      drained.complete(null);
+    } else {
+      loop.schedule(DRAIN_CHECK_MS, () -> awaitDrained(drained));
+    }
+  }
+
+  private void closeAll() {
+    List.copyOf(connections).forEach(connection -> connection.close("this host stops"));
+  }
+
+  private void handle(ServerConnection connection, Exchange exchange, PeerRequest request) {
+    CompletableFuture<PeerReply> future;
+    try {
+      future = handler.handle(request);
+    } catch (RuntimeException e) {
+      future = CompletableFuture.failedFuture(e);
+    }
+    var unused =
+        future.whenComplete(
+            (reply, failure) -> {
+              PeerReply answer = failure == null ? reply : internal(failure);
+              loop.execute(() -> connection.reply(exchange, answer));
+            });
+  }
+
+  private static PeerReply internal(Throwable failure) {
+    logger.atWarning().withCause(failure).log("peer: handler failed");
+    return new PeerReply.Refused(PeerErrorType.INTERNAL, "the handler failed: " + failure);
+  }
+
+  /** Passes requests to the handler; belongs to the thread of the loop. */
+  private final class Dispatcher implements ServerConnection.Owner {
+
+    @Override
+    public void onRequest(ServerConnection connection, Exchange exchange, PeerRequest request) {
+      if (stopping) {
+        connection.reply(exchange, refusal(PeerErrorType.STOPPING, "this host is stopping"));
+        return;
+      }
+      try {
+        executor.execute(() -> handle(connection, exchange, request));
+      } catch (RejectedExecutionException e) {
+        connection.reply(exchange, refusal(PeerErrorType.OVERLOADED, "no thread is free"));
+      }
+    }
+
+    @Override
+    public void onClosed(ServerConnection connection, String cause) {
+      connections.remove(connection);
+      logger.atFine().log("peer: connection closed, %s", cause);
+    }
+
+    private PeerReply refusal(PeerErrorType type, String message) {
+      return new PeerReply.Refused(type, message);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PendingCall.java
@@ -0,0 +1,90 @@
+package org.hickorymoor.daemon.peer;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import org.jspecify.annotations.Nullable;
+
+/** One call of a client. Belongs to the thread of the loop, but for its future. */
+final class PendingCall {
+
+  private final PeerRequest request;
+  private final long timeoutMs;
+  private final Executor executor;
+  private final Runnable onEnd;
+  private final CompletableFuture<PeerReply> future = new CompletableFuture<>();
+  private Connection.@Nullable Outbound outbound;
+  private EventLoop.@Nullable Timer deadline;
+  private int id;
+
+  /**
+   * Makes a call.
+   *
+   * @param request what is asked
+   * @param timeoutMs time for the whole call
+   * @param executor completes the future
+   * @param onEnd run when the call has ended
+   */
+  PendingCall(PeerRequest request, long timeoutMs, Executor executor, Runnable onEnd) {
+    this.request = request;
+    this.timeoutMs = timeoutMs;
+    this.executor = executor;
+    this.onEnd = onEnd;
+  }
+
+  PeerRequest request() {
+    return request;
+  }
+
+  long timeoutMs() {
+    return timeoutMs;
+  }
+
+  CompletableFuture<PeerReply> future() {
+    return future;
+  }
+
+  int id() {
+    return id;
+  }
+
+  Connection.@Nullable Outbound outbound() {
+    return outbound;
+  }
+
+  void setDeadline(EventLoop.Timer timer) {
+    deadline = timer;
+  }
+
+  EventLoop.@Nullable Timer deadline() {
+    return deadline;
+  }
+
+  void sentAs(int newId, Connection.Outbound newOutbound) {
+    id = newId;
+    outbound = newOutbound;
+  }
+
+  /** Tells whether the whole request was handed to the system. */
+  boolean isSent() {
+    return outbound != null && outbound.isSent();
+  }
+
+  void complete(PeerReply reply) {
+    end(() -> future.complete(reply));
+  }
+
+  void fail(PeerException.Type type, String message) {
+    PeerException failure = new PeerException(type, message);
+    end(() -> future.completeExceptionally(failure));
+  }
+
+  private void end(Runnable completion) {
+    onEnd.run();
+    try {
+      executor.execute(completion);
+    } catch (RejectedExecutionException e) {
+      completion.run();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -0,0 +1,61 @@
+package org.hickorymoor.daemon.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** What bytes were sent for. A reply counts under the purpose of its request. */
+enum Purpose {
+  STATUS("status", PeerRequest.Status.class),
+  SUBMIT_JOB("submit-job", PeerRequest.SubmitJob.class),
+  GET_JOB("get-job", PeerRequest.GetJob.class),
+  CANCEL_JOB("cancel-job", PeerRequest.CancelJob.class),
+  LIST_JOBS("list-jobs", PeerRequest.ListJobs.class),
+  EXPLAIN_JOB("explain-job", PeerRequest.ExplainJob.class),
+  LIST_WORKERS("list-workers", PeerRequest.ListWorkers.class),
+  FETCH_CONFIG("fetch-config", PeerRequest.FetchConfig.class),
+  DRAIN_WORKER("drain-worker", PeerRequest.DrainWorker.class),
+  STORE_INTENT("store-intent", PeerRequest.StoreIntent.class),
+  FETCH_INTENTS("fetch-intents", PeerRequest.FetchIntents.class),
+
+  /** Hello, heartbeat and go-away frames. */
+  UPKEEP("upkeep", null),
+
+  /** Error frames. */
+  ERROR("error", null),
+
+  /** Late and duplicate replies. */
+  DROPPED("dropped", null);
+
+  private static final Map<Class<?>, Purpose> BY_CLASS = byClass();
+
+  private final String metricName;
+  private final @Nullable Class<? extends PeerRequest> requestClass;
+
+  Purpose(String metricName, @Nullable Class<? extends PeerRequest> requestClass) {
+    this.metricName = metricName;
+    this.requestClass = requestClass;
+  }
+
+  String metricName() {
+    return metricName;
+  }
+
+  static Purpose of(PeerRequest request) {
+    Purpose purpose = BY_CLASS.get(request.getClass());
+    if (purpose == null) {
+      throw new IllegalStateException("expected a purpose for " + request.getClass());
+    }
+    return purpose;
+  }
+
+  private static Map<Class<?>, Purpose> byClass() {
+    Map<Class<?>, Purpose> purposes = new HashMap<>();
+    for (Purpose purpose : values()) {
+      if (purpose.requestClass != null) {
+        purposes.put(purpose.requestClass, purpose);
+      }
+    }
+    return purposes;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ServerConnection.java
@@ -0,0 +1,148 @@
+package org.hickorymoor.daemon.peer;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import org.hickorymoor.daemon.peer.PeerMetrics.Event;
+
+/**
+ * A connection that a peer opened, with the requests on it.
+ *
+ * <p>Belongs to the thread of its loop.
+ */
+final class ServerConnection implements Connection.Listener {
+
+  /** Told what comes of the connection. */
+  interface Owner {
+    /** A request came; the reply goes to {@link ServerConnection#reply}. */
+    void onRequest(ServerConnection connection, Exchange exchange, PeerRequest request);
+
+    /** The connection has closed. */
+    void onClosed(ServerConnection connection, String cause);
+  }
+
+  /**
+   * What a reply needs to know of its request.
+   *
+   * @param id id of the request
+   * @param version version that it came in, in which it is answered
+   * @param purpose what its bytes count for
+   */
+  record Exchange(int id, int version, Purpose purpose) {}
+
+  private final PeerSettings settings;
+  private final PeerMetrics metrics;
+  private final Owner owner;
+  private final Connection connection;
+  private int requestsInFlight;
+
+  ServerConnection(
+      EventLoop loop,
+      SocketChannel channel,
+      PeerSettings settings,
+      PeerMetrics metrics,
+      Owner owner)
+      throws IOException {
+    this.settings = settings;
+    this.metrics = metrics;
+    this.owner = owner;
+    this.connection = new Connection(loop, channel, settings, metrics, false, this);
+  }
+
+  void start() {
+    connection.start();
+  }
+
+  void close(String cause) {
+    connection.close(cause);
+  }
+
+  /** Tells the peer to send nothing new; it closes the connection when it has its replies. */
+  void goAway() {
+    connection.send(Frame.goAway(), Purpose.UPKEEP);
+  }
+
+  /** Sends the reply to a request. */
+  void reply(Exchange exchange, PeerReply reply) {
+    requestsInFlight--;
+    if (connection.isClosed()) {
+      metrics.count(Event.REPLY_DROPPED);
+      return;
+    }
+    byte[] body = BodyVersion.wrap(exchange.version(), ReplyCodec.CODEC.encode(reply));
+    Frame frame = new Frame(exchange.version(), FrameKind.REPLY, exchange.id(), body);
+    if (frame.wireBytes() > settings.maxFrameBytes()) {
+      metrics.count(Event.REPLY_TOO_LARGE);
+      connection.sendError(replyTooLarge(frame));
+    } else if (connection.send(frame, exchange.purpose()) == null) {
+      connection.close(Event.CLOSED_SLOW_READER, "too many bytes wait to be sent");
+    }
+  }
+
+  @Override
+  public void onFrame(Frame frame) throws FrameException {
+    switch (frame.kind()) {
+      case REQUEST -> onRequest(frame);
+      case ERROR, GO_AWAY -> connection.countReceived(frame, Purpose.ERROR);
+      default ->
+          throw new FrameException(
+              FrameErrorType.MALFORMED, frame.id(), "expected a request, got " + frame.kind());
+    }
+  }
+
+  @Override
+  public void onClosed(String cause) {
+    owner.onClosed(this, cause);
+  }
+
+  private void onRequest(Frame frame) throws FrameException {
+    if (!BodyVersion.isSpoken(frame.version(), settings.maxVersion())) {
+      connection.countReceived(frame, Purpose.ERROR);
+      metrics.count(Event.UNSUPPORTED_VERSION);
+      connection.sendError(unsupported(frame));
+      return;
+    }
+    PeerRequest request = decode(frame);
+    Exchange exchange = new Exchange(frame.id(), frame.version(), Purpose.of(request));
+    connection.countReceived(frame, exchange.purpose());
+    requestsInFlight++;
+    if (requestsInFlight > settings.maxInFlight()) {
+      metrics.count(Event.OVERLOADED);
+      reply(exchange, overloaded());
+    } else {
+      owner.onRequest(this, exchange, request);
+    }
+  }
+
+  private PeerRequest decode(Frame frame) throws FrameException {
+    try {
+      byte[] packed = BodyVersion.unwrap(frame.version(), frame.body(), settings.maxFrameBytes());
+      return RequestCodec.CODEC.decode(packed);
+    } catch (FrameException e) {
+      throw new FrameException(e.type(), frame.id(), String.valueOf(e.getMessage()));
+    }
+  }
+
+  private PeerReply overloaded() {
+    return new PeerReply.Refused(
+        PeerErrorType.OVERLOADED,
+        "expected at most " + settings.maxInFlight() + " requests in flight on a connection");
+  }
+
+  private FrameException unsupported(Frame frame) {
+    return new FrameException(
+        FrameErrorType.UNSUPPORTED_VERSION,
+        frame.id(),
+        String.format(
+            "expected version %d to %d, got %d",
+            BodyVersion.OLDEST, settings.maxVersion(), frame.version()));
+  }
+
+  private FrameException replyTooLarge(Frame frame) {
+    return new FrameException(
+        FrameErrorType.REPLY_TOO_LARGE,
+        frame.id(),
+        String.format(
+            "expected a reply of at most %d bytes, got %d; ask for less",
+            settings.maxFrameBytes(), frame.wireBytes()));
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/peer/Peers.java
@@ -0,0 +1,107 @@
+package org.hickorymoor.daemon.peer;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.hickorymoor.daemon.peer.PeerRequest.Status;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.domain.job.JobKind;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.job.Spread;
+
+/** Servers and clients of one test, stopped at its end in reverse order. */
+final class Peers implements AutoCloseable {
+
+  static final long CALL_MS = 20_000;
+  static final RequestKey KEY = new RequestKey("press", "k-1");
+  static final Status STATUS = new Status("e1", "i1", "kano", true, 5, 42, false);
+
+  final MetricRegistry serverMetrics = new MetricRegistry();
+  final MetricRegistry clientMetrics = new MetricRegistry();
+  private final Deque<Runnable> stops = new ArrayDeque<>();
+
+  static PeerSettings settings() {
+    return PeerSettings.defaults("kano", "north").withHeartbeat(50, 400).withStopGraceMs(0);
+  }
+
+  static PeerHandler done() {
+    return request -> CompletableFuture.completedFuture(new PeerReply.Done());
+  }
+
+  static JobSpec spec(String payload) {
+    return new JobSpec(
+        KEY,
+        "colour-proof",
+        JobKind.BATCH,
+        JobClass.URGENT,
+        1,
+        new Resources(1, 1, 500, 256, 0),
+        0,
+        payload,
+        true,
+        Spread.NONE,
+        0,
+        null);
+  }
+
+  static PeerReply jobReply() {
+    return new PeerReply.JobReply(
+        new JobAnswer(KEY, "j1", JobState.DONE, Reason.NONE, 0, List.of()));
+  }
+
+  PeerServer server(PeerSettings settings, PeerHandler handler) throws IOException {
+    return server("127.0.0.1:0", settings, handler);
+  }
+
+  PeerServer server(String address, PeerSettings settings, PeerHandler handler) throws IOException {
+    PeerServer server = new PeerServer(address, handler, settings, serverMetrics);
+    server.start();
+    stops.push(server::stop);
+    return server;
+  }
+
+  PeerClient client(PeerSettings settings) throws IOException {
+    PeerClient client = new PeerClient(settings, clientMetrics);
+    client.start();
+    stops.push(client::stop);
+    return client;
+  }
+
+  Relay relay(String target) throws IOException {
+    Relay relay = new Relay(target);
+    stops.push(relay::close);
+    return relay;
+  }
+
+  long clientCount(String metric) {
+    return clientMetrics.counter("peer.client." + metric).getCount();
+  }
+
+  long serverCount(String metric) {
+    return serverMetrics.counter("peer.server." + metric).getCount();
+  }
+
+  /** Returns the reply, or throws the typed failure. */
+  static PeerReply await(CompletableFuture<PeerReply> future) throws Exception {
+    try {
+      return future.get(2 * CALL_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      throw (PeerException) e.getCause();
+    }
+  }
+
+  @Override
+  public void close() {
+    stops.forEach(Runnable::run);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/peer/Relay.java
@@ -0,0 +1,87 @@
+package org.hickorymoor.daemon.peer;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A TCP relay that can lose track of the connections it holds, while new ones work. */
+final class Relay {
+
+  private final InetSocketAddress target;
+  private final ServerSocket acceptor;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Set<Socket> silenced = ConcurrentHashMap.newKeySet();
+
+  Relay(String target) throws IOException {
+    this.target = Addresses.parse(target);
+    this.acceptor = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    startThread(this::acceptAll);
+  }
+
+  String address() {
+    return "127.0.0.1:" + acceptor.getLocalPort();
+  }
+
+  /** Swallows what comes on the present connections; writes into them go on to succeed. */
+  void silencePresent() {
+    silenced.addAll(sockets);
+  }
+
+  void close() {
+    closeQuietly(acceptor);
+    sockets.forEach(Relay::closeQuietly);
+  }
+
+  private void acceptAll() {
+    try {
+      while (true) {
+        Socket near = acceptor.accept();
+        Socket far = new Socket(target.getAddress(), target.getPort());
+        sockets.add(near);
+        sockets.add(far);
+        startThread(() -> pump(near, far));
+        startThread(() -> pump(far, near));
+      }
+    } catch (IOException e) {
+      closeQuietly(acceptor);
+    }
+  }
+
+  private void pump(Socket from, Socket to) {
+    byte[] buffer = new byte[8_192];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+        if (!silenced.contains(from)) {
+          out.write(buffer, 0, n);
+        }
+      }
+    } catch (IOException e) {
+      closeQuietly(from);
+    }
+    if (!silenced.contains(from)) {
+      closeQuietly(to);
+    }
+  }
+
+  private static void startThread(Runnable task) {
+    Thread thread = new Thread(task, "relay");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void closeQuietly(AutoCloseable closeable) {
+    try {
+      closeable.close();
+    } catch (Exception e) {
+      // The test has its own checks; a relay that is closed twice is no matter.
+    }
+  }
+}
