--- /dev/null
+++ b/cli/src/main/java/org/hickorymoor/cli/ResultCommand.java
@@ -0,0 +1,61 @@
+package org.hickorymoor.cli;
+
+import java.time.Duration;
+import java.util.List;
+import org.hickorymoor.cli.client.ClientException;
+import org.hickorymoor.cli.client.JobReply;
+import org.hickorymoor.cli.client.ServerErrorException;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.job.TaskStatus;
+import org.hickorymoor.protocol.json.EnumNames;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Prints the output of a job that has ended. */
+final class ResultCommand implements Command {
+
+  @Argument(
+      required = true,
+      handler = RequestHandler.class,
+      metaVar = "TEAM/KEY",
+      usage = "name of the request")
+  private RequestKey request = new RequestKey("", "");
+
+  @Option(
+      name = "--wait",
+      handler = DurationHandler.class,
+      usage = "wait for the job's end, at most this long")
+  private Duration wait = Duration.ZERO;
+
+  @Override
+  public ExitCode run(Session session) throws ClientException, ServerErrorException {
+    JobReply reply = session.jobs().status(request, wait.toMillis());
+    JobAnswer answer = reply.answer();
+    if (session.json()) {
+      session.out().println(reply.body());
+    } else if (answer.state().isFinal()) {
+      printOutputs(session, answer.tasks());
+    }
+    if (answer.state() != JobState.DONE) {
+      session.err().println(request + " is " + EnumNames.textOf(answer.state()) + why(answer));
+    }
+    return JobView.exitCodeAfterWait(answer.state());
+  }
+
+  private static void printOutputs(Session session, List<TaskStatus> tasks) {
+    boolean single = tasks.size() == 1;
+    for (TaskStatus task : tasks) {
+      session.out().println(single ? task.output() : task.index() + ": " + task.output());
+    }
+  }
+
+  private static String why(JobAnswer answer) {
+    return switch (answer.state()) {
+      case FAILED, NOT_RUN -> " (" + JobView.reason(answer) + ")";
+      case IN_DOUBT -> " (" + JobView.reason(answer) + "); ask again later";
+      default -> "; wait for its end by --wait 60s";
+    };
+  }
+}
