--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
@@ -12,7 +12,7 @@
  * <p>Every future fails with a {@link JournalException} and with nothing else. Safe for use by
  * several threads.
  */
-interface JobJournal {
+public interface JobJournal {
 
   /**
    * Claims the key of a job that must run at most once, for this failure domain.
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JournalException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JournalException.java
@@ -1,7 +1,7 @@
 package org.hickorymoor.daemon.coordinator;
 
 /** Tells that something could not be recorded in the log. */
-final class JournalException extends Exception {
+public final class JournalException extends Exception {
 
   private static final long serialVersionUID = 1L;
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/RecordText.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/RecordText.java
@@ -4,7 +4,7 @@
 import org.hickorymoor.domain.job.JobSpec;
 
 /** Writes a job as text that travels with its tasks, and reads it back after a takeover. */
-interface RecordText {
+public interface RecordText {
 
   /**
    * Writes a job.
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/CellResource.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/CellResource.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import org.hickorymoor.daemon.entry.Routed;
 import org.hickorymoor.daemon.entry.Router;
 import org.hickorymoor.daemon.peer.PeerReply;
@@ -17,21 +16,9 @@
 
   private final String domain;
   private final Router router;
-  private final Views views;
+  private final HttpInterfaces.Views views;
 
-  /**
-   * What the process says of itself.
-   *
-   * @param cell fields of {@code /v1/cell}
-   * @param metrics fields of {@code /metrics}
-   * @param ready whether callers should be sent here
-   */
-  record Views(
-      Supplier<Map<String, Object>> cell,
-      Supplier<Map<String, Object>> metrics,
-      Supplier<Boolean> ready) {}
-
-  CellResource(String domain, Router router, Views views) {
+  CellResource(String domain, Router router, HttpInterfaces.Views views) {
     this.domain = domain;
     this.router = router;
     this.views = views;
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterfaces.java
@@ -0,0 +1,46 @@
+package org.hickorymoor.daemon.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.hickorymoor.daemon.entry.JobService;
+import org.hickorymoor.daemon.entry.Router;
+
+/** Puts the HTTP interface together. */
+public final class HttpInterfaces {
+
+  private HttpInterfaces() {}
+
+  /**
+   * What the process says of itself.
+   *
+   * @param cell fields of {@code /v1/cell}
+   * @param metrics fields of {@code /metrics}
+   * @param ready whether callers should be sent here
+   */
+  public record Views(
+      Supplier<Map<String, Object>> cell,
+      Supplier<Map<String, Object>> metrics,
+      Supplier<Boolean> ready) {}
+
+  /**
+   * Makes the interface of a daemon, not started.
+   *
+   * @param bind ip:port to serve at
+   * @param domain failure domain of this host
+   * @param jobs submits jobs
+   * @param router brings other requests to coordinators
+   * @param views what the process says of itself
+   * @return the interface
+   */
+  public static HttpInterface of(
+      String bind, String domain, JobService jobs, Router router, Views views) {
+    int colon = bind.lastIndexOf(':');
+    String host = bind.substring(0, colon);
+    int port = Integer.parseInt(bind.substring(colon + 1));
+    return new HttpInterface(
+        host,
+        port,
+        List.of(new JobResource(domain, jobs, router), new CellResource(domain, router, views)));
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/settings/DaemonSettings.java
@@ -45,6 +45,7 @@
     String logLevel) {
 
   private static final String ENV_PREFIX = "HICKORYMOOR_";
+  private static final String HELP_FLAG = "--help";
   private static final int HELP_WIDTH = 100;
 
   /** Which scheduler decides. */
@@ -116,7 +117,7 @@
     for (OptionHandler<?> handler : parser.getOptions()) {
       OptionDef option = handler.option;
       String value = environment.get(variable(option.toString()));
-      if (value != null && !option.isHelp()) {
+      if (value != null && !option.toString().startsWith(HELP_FLAG)) {
         flags.add(option.toString());
         flags.add(value);
       }
--- a/daemon/src/main/java/org/hickorymoor/daemon/settings/SettingsCheck.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/settings/SettingsCheck.java
@@ -22,6 +22,7 @@
 
   private final Flags flags;
   private final List<SettingProblem> problems = new ArrayList<>();
+  private List<String> seedPeers = List.of();
 
   SettingsCheck(Flags flags) {
     this.flags = flags;
@@ -35,7 +36,7 @@
     address("--peer-bind", flags.peerBind);
     address("--log", flags.log);
     address("--hosts", flags.hosts);
-    List<String> peers = peers();
+    seedPeers = peers();
     range("--hold-lease-ms", flags.holdLeaseMs, 1, MAX_MS);
     range("--hold-margin-ms", flags.holdMarginMs, 1, MAX_MS);
     range("--task-lease-ms", flags.taskLeaseMs, 1, MAX_MS);
@@ -61,7 +62,7 @@
         flags.peerBind,
         flags.log,
         flags.hosts,
-        peers,
+        seedPeers,
         scheduler,
         times(),
         flags.appendsPerSecond,
--- /dev/null
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -0,0 +1,158 @@
+package org.hickorymoor.process;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hickorymoor.daemon.HickorymoordMain;
+import org.hickorymoor.platform.PlatformMain;
+import org.hickorymoor.protocol.platform.HostEntry;
+import org.hickorymoor.protocol.platform.HostRole;
+import org.hickorymoor.protocol.platform.HostState;
+
+/** A cell of real processes: log, host list, workers and daemons, each a process of its own. */
+final class Cell implements AutoCloseable {
+
+  private static final String REGION = "north";
+  private static final int READY_ADDRESS = 2;
+  private static final int READY_PEER_ADDRESS = 4;
+
+  private final Path directory;
+  private final Gson gson = new Gson();
+  private final Http http = new Http();
+  private final List<JavaProcess> processes = new ArrayList<>();
+  private final Map<String, JavaProcess> daemons = new LinkedHashMap<>();
+  private final Map<String, String> httpAddresses = new LinkedHashMap<>();
+  private final Map<String, String> workerAddresses = new LinkedHashMap<>();
+  private final String logAddress;
+  private final String hostsAddress;
+  private String daemonLogAddress;
+
+  Cell(Path directory) {
+    this.directory = directory;
+    JavaProcess log = platform("log", List.of());
+    JavaProcess hosts = platform("hosts", List.of());
+    logAddress = log.awaitReady().get(READY_ADDRESS);
+    hostsAddress = hosts.awaitReady().get(READY_ADDRESS);
+    daemonLogAddress = logAddress;
+  }
+
+  private JavaProcess platform(String kind, List<String> options) {
+    List<String> args = new ArrayList<>(List.of(kind));
+    args.addAll(options);
+    JavaProcess process =
+        JavaProcess.start(PlatformMain.class, directory.resolve(kind + ".err"), args);
+    processes.add(process);
+    return process;
+  }
+
+  String logAddress() {
+    return logAddress;
+  }
+
+  /** Has daemons that start from now on reach the log at another address, such as a proxy's. */
+  void reachLogAt(String address) {
+    daemonLogAddress = address;
+  }
+
+  /** Starts workers of one domain in one process, with names {@code domain-w0} and so on. */
+  JavaProcess startWorkers(String domain, int count, String... options) {
+    List<String> args = new ArrayList<>(List.of("--domain", domain, "--rack", domain + "-rack"));
+    args.addAll(List.of(options));
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      names.add(domain + "-w" + workerAddresses.size() + "." + i);
+      args.addAll(List.of("--id", names.get(i)));
+    }
+    JavaProcess process = platform("worker", args);
+    for (String name : names) {
+      String address = process.awaitReady().get(READY_ADDRESS);
+      workerAddresses.put(name, address);
+      list(name, HostRole.WORKER, domain, address, HostState.LIVE);
+    }
+    return process;
+  }
+
+  void list(String hostId, HostRole role, String domain, String address, HostState state) {
+    HostEntry entry = new HostEntry(hostId, role, domain, REGION, domain + "-rack", address, state);
+    http.send("PUT", "http://" + hostsAddress + "/v1/hosts/" + hostId, gson.toJson(entry));
+  }
+
+  void unlist(String hostId) {
+    http.send("DELETE", "http://" + hostsAddress + "/v1/hosts/" + hostId, "");
+  }
+
+  /** Starts a daemon and lists it. */
+  JavaProcess startDaemon(String hostId, String domain, String... options) {
+    List<String> args = new ArrayList<>();
+    args.addAll(List.of("--host-id", hostId, "--domain", domain, "--region", REGION));
+    args.addAll(List.of("--http-bind", "127.0.0.1:0", "--peer-bind", "127.0.0.1:0"));
+    args.addAll(List.of("--log", daemonLogAddress, "--hosts", hostsAddress));
+    args.addAll(List.of("--host-list-poll-ms", "200", "--status-ms", "200"));
+    args.addAll(List.of(options));
+    JavaProcess process =
+        JavaProcess.start(HickorymoordMain.class, directory.resolve(hostId + ".err"), args);
+    processes.add(process);
+    List<String> ready = process.awaitReady();
+    daemons.put(hostId, process);
+    httpAddresses.put(hostId, ready.get(READY_ADDRESS));
+    list(hostId, HostRole.ENTRY, domain, ready.get(READY_PEER_ADDRESS), HostState.LIVE);
+    return process;
+  }
+
+  JavaProcess daemon(String hostId) {
+    return daemons.get(hostId);
+  }
+
+  Http http() {
+    return http;
+  }
+
+  String url(String hostId, String path) {
+    return "http://" + httpAddresses.get(hostId) + path;
+  }
+
+  Http.Reply submit(String hostId, String record, long waitMs) {
+    return http.send("POST", url(hostId, "/v1/jobs?waitMs=" + waitMs), record);
+  }
+
+  Http.Reply get(String hostId, String path) {
+    return http.send("GET", url(hostId, path), "");
+  }
+
+  /** Tells whether a daemon says that it coordinates its domain. */
+  boolean coordinates(String hostId) {
+    return http.trySend("GET", url(hostId, "/v1/cell"), "")
+        .map(reply -> reply.body().get("coordinator").getAsBoolean())
+        .orElse(false);
+  }
+
+  /** Returns what every worker saw by itself. */
+  List<JsonObject> workerRecords() {
+    return workerAddresses.values().stream()
+        .map(address -> http.send("GET", "http://" + address + "/v1/record", "").body())
+        .toList();
+  }
+
+  /** Counts how often tasks of a job began to run on any worker. */
+  int starts(String jobId) {
+    int starts = 0;
+    for (JsonObject record : workerRecords()) {
+      JsonArray started = record.getAsJsonArray("starts");
+      for (var start : started) {
+        String taskId = start.getAsJsonObject().get("taskId").getAsString();
+        starts += taskId.startsWith(jobId + "/") ? 1 : 0;
+      }
+    }
+    return starts;
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(JavaProcess::kill);
+  }
+}
--- /dev/null
+++ b/process-tests/src/test/java/org/hickorymoor/process/Http.java
@@ -0,0 +1,82 @@
+package org.hickorymoor.process;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Calls a process over HTTP. */
+final class Http {
+
+  private static final Duration LIMIT = Duration.ofSeconds(90);
+
+  /**
+   * What came back.
+   *
+   * @param status HTTP status
+   * @param body body as JSON
+   */
+  record Reply(int status, JsonObject body) {
+    String state() {
+      JsonElement state = body.get("state");
+      return state == null ? "" : state.getAsString();
+    }
+
+    String reason() {
+      JsonObject reason = body.getAsJsonObject("reason");
+      return reason == null ? "" : reason.get("type").getAsString();
+    }
+
+    String output(int task) {
+      return body.getAsJsonArray("tasks").get(task).getAsJsonObject().get("output").getAsString();
+    }
+  }
+
+  private final HttpClient client =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
+
+  CompletableFuture<Reply> sendAsync(String method, String url, String body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(url))
+            .timeout(LIMIT)
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return client
+        .sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .thenApply(response -> new Reply(response.statusCode(), parse(response.body())));
+  }
+
+  Reply send(String method, String url, String body) {
+    return sendAsync(method, url, body).join();
+  }
+
+  /** Sends, and returns nothing if no answer came. */
+  Optional<Reply> trySend(String method, String url, String body) {
+    try {
+      return Optional.of(send(method, url, body));
+    } catch (RuntimeException e) {
+      boolean broken = e.getCause() instanceof IOException;
+      if (!broken) {
+        throw e;
+      }
+      return Optional.empty();
+    }
+  }
+
+  private static JsonObject parse(String body) {
+    try {
+      return JsonParser.parseString(body).getAsJsonObject();
+    } catch (RuntimeException e) {
+      JsonObject text = new JsonObject();
+      text.addProperty("text", body);
+      return text;
+    }
+  }
+}
--- /dev/null
+++ b/process-tests/src/test/java/org/hickorymoor/process/package-info.java
@@ -0,0 +1,2 @@
+/** Tests with real processes. */
+package org.hickorymoor.process;
