--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/AdmissionControl.java
@@ -0,0 +1,76 @@
+package org.hickorymoor.domain.policy;
+
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.ReasonType;
+
+/** Refuses jobs early while too much waits, with a retry time by the rate of starts. */
+final class AdmissionControl {
+
+  private static final long WINDOW_MS = 1_000;
+  private static final double SMOOTHING = 0.3;
+  private static final long MIN_RETRY_MS = 100;
+  private static final long MAX_RETRY_MS = 60_000;
+  private static final double NORMAL_SHARE = 0.9;
+  private static final double BATCH_SHARE = 0.8;
+
+  private final Cell cell;
+  private final FairQueue queue;
+  private long windowStartMs;
+  private int windowStarts;
+  private double startsPerMs;
+
+  AdmissionControl(Cell cell, FairQueue queue) {
+    this.cell = cell;
+    this.queue = queue;
+  }
+
+  Admission admit(JobSpec spec, long nowMs) {
+    String team = spec.request().team();
+    int teamExcess =
+        queue.waitingTasks(team) + spec.taskCount() - cell.settings.maxQueuedTasksPerTeam();
+    if (teamExcess > 0) {
+      return refuse("team " + team + " has " + queue.waitingTasks(team), teamExcess, nowMs);
+    }
+    int excess = queue.waitingTasks() + spec.taskCount() - bound(spec);
+    if (excess > 0) {
+      return refuse("the queue has " + queue.waitingTasks(), excess, nowMs);
+    }
+    return Admission.ACCEPTED;
+  }
+
+  /** Counts starts for the rate at which the queue drains. */
+  void started(int starts, long nowMs) {
+    closeWindow(nowMs);
+    windowStarts += starts;
+  }
+
+  /** Leaves part of the queue to more urgent classes. */
+  private int bound(JobSpec spec) {
+    int all = cell.settings.maxQueuedTasks();
+    return switch (spec.jobClass()) {
+      case URGENT -> all;
+      case NORMAL -> (int) (all * NORMAL_SHARE);
+      case BATCH -> (int) (all * BATCH_SHARE);
+    };
+  }
+
+  private Admission refuse(String what, int excess, long nowMs) {
+    closeWindow(nowMs);
+    double waitMs = startsPerMs > 0 ? excess / startsPerMs : MAX_RETRY_MS;
+    long retryAfterMs = (long) Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
+    String message =
+        what + " tasks waiting, " + excess + " too many; try again in " + retryAfterMs + " ms";
+    return new Admission(new Reason(ReasonType.OVERLOADED, message), retryAfterMs);
+  }
+
+  private void closeWindow(long nowMs) {
+    long lengthMs = nowMs - windowStartMs;
+    if (lengthMs >= WINDOW_MS) {
+      double rate = (double) windowStarts / lengthMs;
+      startsPerMs = startsPerMs == 0 ? rate : startsPerMs + SMOOTHING * (rate - startsPerMs);
+      windowStartMs = nowMs;
+      windowStarts = 0;
+    }
+  }
+}
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Amounts.java
@@ -0,0 +1,86 @@
+package org.hickorymoor.domain.policy;
+
+import org.hickorymoor.domain.Resources;
+
+/** Arithmetic on amounts of resources. */
+final class Amounts {
+
+  private static final int RESOURCE_COUNT = 5;
+
+  private Amounts() {}
+
+  /** Returns the larger amount of each resource. */
+  static Resources max(Resources a, Resources b) {
+    return new Resources(
+        Math.max(a.slots(), b.slots()),
+        Math.max(a.connections(), b.connections()),
+        Math.max(a.cpuMillis(), b.cpuMillis()),
+        Math.max(a.memoryMb(), b.memoryMb()),
+        Math.max(a.accelerators(), b.accelerators()));
+  }
+
+  /** Returns a share of everything but accelerators, at least one of whatever there is any. */
+  static Resources shareOf(Resources whole, double share) {
+    return new Resources(
+        atLeastOne(whole.slots(), share),
+        atLeastOne(whole.connections(), share),
+        atLeastOne(whole.cpuMillis(), share),
+        atLeastOne(whole.memoryMb(), share),
+        whole.accelerators());
+  }
+
+  /** Returns a number of times an amount. */
+  static Resources times(Resources amount, int factor) {
+    return new Resources(
+        amount.slots() * factor,
+        amount.connections() * factor,
+        amount.cpuMillis() * factor,
+        amount.memoryMb() * factor,
+        amount.accelerators() * factor);
+  }
+
+  /** Returns how many times a demand fits in what is free. */
+  static int count(Resources free, Resources demand) {
+    int count = Integer.MAX_VALUE;
+    count = Math.min(count, fits(free.slots(), demand.slots()));
+    count = Math.min(count, fits(free.connections(), demand.connections()));
+    count = Math.min(count, fits(free.cpuMillis(), demand.cpuMillis()));
+    count = Math.min(count, fits(free.memoryMb(), demand.memoryMb()));
+    return Math.min(count, fits(free.accelerators(), demand.accelerators()));
+  }
+
+  /** Returns the largest share that a use takes of any resource. */
+  static double dominantShare(Resources used, Resources total) {
+    double share = ratio(used.slots(), total.slots());
+    share = Math.max(share, ratio(used.connections(), total.connections()));
+    share = Math.max(share, ratio(used.cpuMillis(), total.cpuMillis()));
+    share = Math.max(share, ratio(used.memoryMb(), total.memoryMb()));
+    return Math.max(share, ratio(used.accelerators(), total.accelerators()));
+  }
+
+  /** Returns the mean share that a use takes of all resources. */
+  static double meanShare(Resources used, Resources total) {
+    double sum =
+        ratio(used.slots(), total.slots())
+            + ratio(used.connections(), total.connections())
+            + ratio(used.cpuMillis(), total.cpuMillis())
+            + ratio(used.memoryMb(), total.memoryMb())
+            + ratio(used.accelerators(), total.accelerators());
+    return sum / RESOURCE_COUNT;
+  }
+
+  static double ratio(double used, double total) {
+    return total > 0 ? used / total : 0;
+  }
+
+  private static int fits(int free, int demand) {
+    if (demand > 0) {
+      return Math.max(0, free / demand);
+    }
+    return free < 0 ? 0 : Integer.MAX_VALUE;
+  }
+
+  private static int atLeastOne(int whole, double share) {
+    return whole == 0 ? 0 : Math.max(1, (int) Math.round(whole * share));
+  }
+}
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
@@ -0,0 +1,128 @@
+package org.hickorymoor.domain.policy;
+
+import java.util.Collection;
+import org.hickorymoor.domain.Resources;
+
+/**
+ * Learns what one worker really holds from lagging reports and from how fast tasks finish.
+ *
+ * <p>The learned capacity is a share of the declared one. It rises in small steps while the worker
+ * keeps up, and falls by a factor as soon as it does not. What started after the time of a report
+ * counts on top of the report.
+ */
+final class CapacityLearner {
+
+  private static final double MIN_SHARE = 0.125;
+  private static final double RISE = 0.05;
+  private static final double FALL_ON_OVERUSE = 0.5;
+  private static final double FALL_ON_SLOW_DRAIN = 0.7;
+  private static final double SLOW_RUN_TIME = 1.5;
+  private static final double SLOW_SHARE_TO_FALL = 0.4;
+  private static final double SLOW_SHARE_TO_RISE = 0.25;
+  private static final double SMOOTHING = 0.2;
+  private static final long NO_RISE_AFTER_FALL_MS = 10_000;
+
+  private double share;
+  private double slowShare;
+  private long noRiseUntilMs;
+  private long reportedAtMs = Long.MIN_VALUE;
+  private Resources reported = Resources.NONE;
+  private Resources startedSince = Resources.NONE;
+
+  CapacityLearner(double initialShare) {
+    share = Math.max(MIN_SHARE, initialShare);
+  }
+
+  /** Returns the learned part of the declared capacity; accelerators are never scaled. */
+  Resources learned(Resources declared) {
+    return Amounts.shareOf(declared, share);
+  }
+
+  /** Returns what is in use by the last report and the starts since. */
+  Resources observed() {
+    return reported.plus(startedSince);
+  }
+
+  /** Returns the share of the latest attempts that finished late, from 0 to 1. */
+  double slowShare() {
+    return slowShare;
+  }
+
+  void started(RunningAttempt attempt) {
+    if (attempt.startedMs >= reportedAtMs) {
+      startedSince = startedSince.plus(observable(attempt.expected));
+    }
+  }
+
+  void ended(RunningAttempt attempt) {
+    Resources part = observable(attempt.expected);
+    if (attempt.startedMs >= reportedAtMs) {
+      startedSince = startedSince.minus(part);
+    } else {
+      reported = Amounts.max(Resources.NONE, reported.minus(part));
+    }
+  }
+
+  /**
+   * Takes a report in; one that is older than the last is dropped.
+   *
+   * @param limit what the reported use has to stay within
+   * @param wanted whether more work waits for this worker
+   * @return false if the report was dropped
+   */
+  boolean reported(
+      UsageReport report,
+      Resources limit,
+      Collection<RunningAttempt> attempts,
+      boolean wanted,
+      long nowMs) {
+    long atMs = nowMs - report.ageMs();
+    if (atMs < reportedAtMs) {
+      return false;
+    }
+    reportedAtMs = atMs;
+    reported = new Resources(0, report.connections(), report.cpuMillis(), report.memoryMb(), 0);
+    startedSince = Resources.NONE;
+    for (RunningAttempt attempt : attempts) {
+      started(attempt);
+    }
+    if (!reported.fitsIn(limit)) {
+      fall(FALL_ON_OVERUSE, nowMs);
+    } else if (wanted) {
+      rise(nowMs);
+    }
+    return true;
+  }
+
+  /**
+   * Takes the run time of a finished attempt in.
+   *
+   * @param relativeRunTime its run time over what most attempts at the same work stay below
+   * @param wanted whether more work waits for this worker
+   */
+  void completed(double relativeRunTime, boolean wanted, long nowMs) {
+    double sample = relativeRunTime > SLOW_RUN_TIME ? 1 : 0;
+    slowShare += SMOOTHING * (sample - slowShare);
+    if (slowShare > SLOW_SHARE_TO_FALL) {
+      fall(FALL_ON_SLOW_DRAIN, nowMs);
+    } else if (wanted && slowShare <= SLOW_SHARE_TO_RISE) {
+      rise(nowMs);
+    }
+  }
+
+  private void fall(double factor, long nowMs) {
+    share = Math.max(MIN_SHARE, share * factor);
+    slowShare = 0;
+    noRiseUntilMs = nowMs + NO_RISE_AFTER_FALL_MS;
+  }
+
+  private void rise(long nowMs) {
+    if (nowMs >= noRiseUntilMs) {
+      share = Math.min(1, share + RISE);
+    }
+  }
+
+  private static Resources observable(Resources amount) {
+    return new Resources(0, amount.connections(), amount.cpuMillis(), amount.memoryMb(), 0);
+  }
+}
--- a/domain/src/main/java/org/hickorymoor/domain/policy/DelayedAttempts.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/DelayedAttempts.java
@@ -1,33 +1,41 @@
 package org.hickorymoor.domain.policy;
 
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
 import org.hickorymoor.domain.job.TaskId;
 
-/** Holds attempts back until their back-off has passed. */
+/** Holds jobs and single attempts back until a delay has passed. */
 final class DelayedAttempts {
 
   private final PriorityQueue<Delayed> queue = new PriorityQueue<>();
 
+  /** Holds an attempt back that is not waiting yet. */
   void add(QueuedJob job, TaskId task, long dueMs) {
     job.backingOff++;
-    queue.add(new Delayed(dueMs, job, task));
+    queue.add(new Delayed(dueMs, job, List.of(task)));
   }
 
-  /** Hands over every attempt that is due, except those of dropped jobs. */
-  void release(long nowMs, BiConsumer<QueuedJob, TaskId> target) {
+  /** Holds a job back with all the attempts that wait already. */
+  void park(QueuedJob job, long dueMs) {
+    queue.add(new Delayed(dueMs, job, List.of()));
+  }
+
+  /** Hands over whatever is due, except that of dropped jobs. */
+  void release(long nowMs, BiConsumer<QueuedJob, List<TaskId>> target) {
     Delayed first = queue.peek();
     while (first != null && first.dueMs <= nowMs) {
       queue.remove();
-      first.job.backingOff--;
+      first.job.backingOff -= first.tasks.size();
       if (!first.job.dropped) {
-        target.accept(first.job, first.task);
+        target.accept(first.job, first.tasks);
       }
       first = queue.peek();
     }
   }
 
-  private record Delayed(long dueMs, QueuedJob job, TaskId task) implements Comparable<Delayed> {
+  private record Delayed(long dueMs, QueuedJob job, List<TaskId> tasks)
+      implements Comparable<Delayed> {
     @Override
     public int compareTo(Delayed other) {
       return Long.compare(dueMs, other.dueMs);
--- a/domain/src/main/java/org/hickorymoor/domain/policy/FirstFitScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/FirstFitScheduler.java
@@ -37,11 +37,12 @@
  */
 public final class FirstFitScheduler implements CellScheduler {
 
+  private static final double TRUST_IN_FULL = 1;
   private static final int MAX_ATTEMPTS = 5;
   private static final long RETRY_BASE_DELAY_MS = 200;
   private static final long RETRY_MAX_DELAY_MS = 30_000;
 
-  private final TaskLedger ledger = new TaskLedger();
+  private final TaskLedger ledger = new TaskLedger(TRUST_IN_FULL);
   private final Map<String, QueuedJob> jobs = new HashMap<>();
   private final Map<JobClass, Set<QueuedJob>> queues = new EnumMap<>(JobClass.class);
   private final DelayedAttempts delayed = new DelayedAttempts();
@@ -94,7 +95,7 @@
   public void taskFound(TaskId task, JobSpec spec, String workerId, long nowMs) {
     QueuedJob job = jobOrNew(task.jobId(), spec);
     job.removeWaiting(task.index());
-    ledger.start(task, job, workerId, nowMs);
+    ledger.start(task, job, workerId, spec.demand(), nowMs);
   }
 
   @Override
@@ -103,11 +104,14 @@
     if (attempt == null || attempt.job.dropped) {
       return;
     }
+    if (end.outcome() == TaskEnd.Outcome.FAILED) {
+      attempt.job.countFailure(task.index());
+    }
+    int failures = attempt.job.failures(task.index());
     TaskId next = new TaskId(task.jobId(), task.index(), task.attempt() + 1);
-    switch (retryRules.judge(attempt.job, task.attempt(), end.outcome())) {
-      case RETRY_NOW -> requeue(attempt.job, next);
-      case RETRY_LATER ->
-          delayed.add(attempt.job, next, nowMs + retryRules.delayMs(task.attempt()));
+    switch (retryRules.judge(attempt.job, failures, end.outcome())) {
+      case RETRY_NOW -> requeue(attempt.job, List.of(next));
+      case RETRY_LATER -> delayed.add(attempt.job, next, nowMs + retryRules.delayMs(failures));
       case EXHAUSTED -> giveUp(attempt.job, task);
       default -> forgetIfOver(attempt.job);
     }
@@ -135,8 +139,9 @@
     if (job == null) {
       return List.of();
     }
-    if (!job.waiting.isEmpty()) {
-      return List.of(job.waiting.size() + " tasks wait for a worker with room for " + job.demand());
+    if (!job.waiting().isEmpty()) {
+      return List.of(
+          job.waiting().size() + " tasks wait for a worker with room for " + job.demand());
     }
     return job.backingOff > 0
         ? List.of(job.backingOff + " tasks wait before another attempt")
@@ -158,19 +163,18 @@
   }
 
   private void enqueue(QueuedJob job) {
-    if (!job.waiting.isEmpty()) {
+    if (!job.waiting().isEmpty()) {
       queueOf(job).add(job);
     }
   }
 
-  private void requeue(QueuedJob job, TaskId task) {
-    job.addWaiting(List.of(task));
+  private void requeue(QueuedJob job, List<TaskId> tasks) {
+    job.addWaiting(tasks);
     enqueue(job);
   }
 
   private void drop(QueuedJob job) {
-    job.dropped = true;
-    job.waiting.clear();
+    job.drop();
     queueOf(job).remove(job);
   }
 
@@ -195,7 +199,7 @@
       if (mayFit && !startJob(job, nowMs, decisions) && !job.allAtOnce()) {
         fullFor.add(job.demand());
       }
-      if (job.waiting.isEmpty()) {
+      if (job.waiting().isEmpty()) {
         all.remove();
       }
     }
@@ -204,20 +208,20 @@
   /** Starts what fits of a job; returns whether nothing of it is left waiting. */
   private boolean startJob(QueuedJob job, long nowMs, List<Decision> decisions) {
     List<RunningAttempt> started = new ArrayList<>();
-    for (TaskId task : job.waiting) {
+    for (TaskId task : job.waiting()) {
       WorkerLoad worker = firstFit(job.demand());
       if (worker == null) {
         break;
       }
-      started.add(ledger.start(task, job, worker.workerId, nowMs));
+      started.add(ledger.start(task, job, worker.workerId, job.demand(), nowMs));
     }
-    boolean whole = started.size() == job.waiting.size();
+    boolean whole = started.size() == job.waiting().size();
     if (job.allAtOnce() && !whole) {
       started.forEach(attempt -> ledger.end(attempt.task));
       return false;
     }
     for (RunningAttempt attempt : started) {
-      job.waiting.remove();
+      job.removeWaiting(attempt.task.index());
       decisions.add(new Decision.Start(attempt.task, attempt.worker.workerId));
     }
     return whole;
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Placement.java
@@ -0,0 +1,111 @@
+package org.hickorymoor.domain.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.TaskId;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses the worker that suits a task best, by the weights of the deployment. */
+final class Placement {
+
+  /** Spreading goes before the weights, which add up to a few units at most. */
+  private static final double SPREAD_WEIGHT = 1_000;
+
+  private final Cell cell;
+
+  Placement(Cell cell) {
+    this.cell = cell;
+  }
+
+  /**
+   * Starts one task of a job where it fits best.
+   *
+   * @return the started attempt, or null if it fits nowhere at present
+   */
+  @Nullable RunningAttempt startOne(QueuedJob job, long nowMs) {
+    WorkerLoad worker = choose(job, nowMs);
+    return worker == null ? null : start(job.waiting().iterator().next(), job, worker, nowMs);
+  }
+
+  /**
+   * Starts all waiting tasks of a job, or none.
+   *
+   * @return the started attempts; empty if they don't all fit at present
+   */
+  List<RunningAttempt> startAll(QueuedJob job, long nowMs) {
+    List<RunningAttempt> started = new ArrayList<>();
+    if (!mayHoldAll(job, nowMs)) {
+      return started;
+    }
+    for (TaskId task : job.waiting()) {
+      WorkerLoad worker = choose(job, nowMs);
+      if (worker == null) {
+        started.forEach(attempt -> cell.ledger.end(attempt.task));
+        return List.of();
+      }
+      started.add(start(task, job, worker, nowMs));
+    }
+    return started;
+  }
+
+  /** Returns the best worker for the next task of a job, or null if it fits nowhere at present. */
+  @Nullable WorkerLoad choose(QueuedJob job, long nowMs) {
+    Resources expected = cell.expected(job);
+    WorkerLoad best = null;
+    double bestScore = Double.NEGATIVE_INFINITY;
+    for (WorkerLoad worker : cell.ledger.workers()) {
+      if (!cell.hasRoom(worker, job, expected) || !cell.admits(worker, job, nowMs)) {
+        continue;
+      }
+      if (job.failedWorkers.contains(worker.workerId)) {
+        continue;
+      }
+      double score = score(worker, job);
+      if (score > bestScore) {
+        best = worker;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private boolean mayHoldAll(QueuedJob job, long nowMs) {
+    long count = 0;
+    for (WorkerLoad worker : cell.ledger.workers()) {
+      if (cell.admits(worker, job, nowMs)) {
+        count += Amounts.count(worker.free(), job.demand());
+      }
+    }
+    return count >= job.waiting().size();
+  }
+
+  private RunningAttempt start(TaskId task, QueuedJob job, WorkerLoad worker, long nowMs) {
+    RunningAttempt attempt = cell.start(task, job, worker.workerId, nowMs);
+    worker.lastStartDecision = cell.decision;
+    return attempt;
+  }
+
+  private double score(WorkerLoad worker, QueuedJob job) {
+    PolicySettings settings = cell.settings;
+    Resources usedAfter = worker.used().plus(job.demand());
+    double fullness = Amounts.meanShare(usedAfter, worker.capacity());
+    double speed = 1 - worker.learner.slowShare();
+    double touched = worker.lastStartDecision == cell.decision ? 1 : 0;
+    double score =
+        settings.packingWeight() * fullness
+            + settings.waitingWeight() * speed
+            + settings.controlWeight() * touched;
+    return job.spreadOverRacks() ? score - SPREAD_WEIGHT * crowding(worker, job) : score;
+  }
+
+  /** Returns how many tasks of the job run in the rack, and in fractions on the worker. */
+  private static double crowding(WorkerLoad worker, QueuedJob job) {
+    int inRack = job.runningByRack.getOrDefault(worker.rack(), 0);
+    if (inRack == 0) {
+      return 0;
+    }
+    long onWorker = worker.attempts.values().stream().filter(a -> a.job == job).count();
+    return inRack + onWorker / (1.0 + job.running);
+  }
+}
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
@@ -0,0 +1,420 @@
+package org.hickorymoor.domain.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.ReasonType;
+import org.hickorymoor.domain.job.TaskId;
+
+/**
+ * Places unlike work on workers whose real capacity has to be learned.
+ *
+ * <pre>{@code
+ * PolicySettings settings = PolicySettings.DEFAULT.withWeights(0.7, 0.2, 0.1);
+ * CellScheduler scheduler = new PolicyScheduler(settings, new SplittableRandom(seed));
+ * }</pre>
+ *
+ * <p>Queues are fair between teams within a class. Jobs that fit nowhere block nobody. Jobs that
+ * have waited too long get workers drained for them. Urgent jobs may throttle or stop batch tasks.
+ * Workers that fail everything are set aside, and jobs that fail everywhere given up.
+ *
+ * <p>Attempts that fail are repeated after a back-off, unless the job must not be repeated. An
+ * attempt that never started is always tried again.
+ *
+ * <p>One call of {@link #decide} makes a bounded number of starts; call it again at once if it made
+ * that many. Not safe for use by several threads.
+ */
+public final class PolicyScheduler implements CellScheduler {
+
+  private static final long AVOIDANCE_DELAY_MS = 500;
+
+  private final Cell cell;
+  private final FairQueue queue;
+  private final Placement placement;
+  private final Reservations reservations;
+  private final Suspicion suspicion;
+  private final Preemption preemption;
+  private final AdmissionControl admission;
+  private final Explainer explainer;
+  private final DelayedAttempts delayed = new DelayedAttempts();
+  private final Map<String, QueuedJob> jobs = new HashMap<>();
+  private final Set<QueuedJob> unplaceable = new LinkedHashSet<>();
+  private final List<Decision> givenUp = new ArrayList<>();
+  private final RandomGenerator random;
+  private RetryRules retryRules;
+
+  /**
+   * Creates a scheduler without workers or jobs.
+   *
+   * @param settings what the deployment wants
+   * @param random source of the jitter in retry delays
+   */
+  public PolicyScheduler(PolicySettings settings, RandomGenerator random) {
+    this.random = random;
+    cell = new Cell(settings);
+    queue = new FairQueue(settings);
+    placement = new Placement(cell);
+    reservations = new Reservations(cell, queue);
+    suspicion = new Suspicion(cell);
+    preemption = new Preemption(cell, queue);
+    admission = new AdmissionControl(cell, queue);
+    explainer = new Explainer(cell, queue);
+    retryRules = retryRules(settings);
+  }
+
+  /**
+   * Changes the settings from the next decision on; the start of the learned capacity stays as it
+   * was.
+   *
+   * @param settings the new settings
+   */
+  public void reconfigure(PolicySettings settings) {
+    cell.settings = settings;
+    queue.setSettings(settings);
+    retryRules = retryRules(settings);
+    retryUnplaceable();
+  }
+
+  @Override
+  public Admission admit(JobSpec spec, long nowMs) {
+    return admission.admit(spec, nowMs);
+  }
+
+  @Override
+  public void submit(String jobId, JobSpec spec, Collection<TaskId> tasks, long nowMs) {
+    queueAttempts(jobOrNew(jobId, spec), tasks, nowMs);
+  }
+
+  @Override
+  public void cancel(String jobId) {
+    QueuedJob job = jobs.remove(jobId);
+    if (job != null) {
+      drop(job);
+    }
+  }
+
+  @Override
+  public void workerSeen(WorkerProfile profile, long nowMs) {
+    WorkerLoad known = cell.ledger.worker(profile.workerId());
+    if (known != null && known.present() && known.profile().equals(profile)) {
+      return;
+    }
+    cell.gainedRoom.add(cell.ledger.seen(profile));
+    workersChanged();
+    retryUnplaceable();
+  }
+
+  @Override
+  public void workerLost(String workerId) {
+    WorkerLoad worker = cell.ledger.lost(workerId);
+    if (worker != null) {
+      suspicion.forget(worker);
+      workersChanged();
+    }
+  }
+
+  @Override
+  public void taskFound(TaskId task, JobSpec spec, String workerId, long nowMs) {
+    if (cell.ledger.attempt(task) != null) {
+      return;
+    }
+    QueuedJob job = jobOrNew(task.jobId(), spec);
+    job.removeWaiting(task.index());
+    queue.recount(job);
+    cell.start(task, job, workerId, nowMs);
+    queue.charge(job.team(), job.demand());
+  }
+
+  @Override
+  public void taskEnded(TaskId task, TaskEnd end, long nowMs) {
+    RunningAttempt attempt = cell.ledger.end(task);
+    if (attempt == null) {
+      return;
+    }
+    attempt.worker.lastEndMs = nowMs;
+    cell.gainedRoom.add(attempt.worker);
+    queue.refund(attempt.job.team(), attempt.job.demand());
+    preemption.ended(attempt);
+    boolean hopeless = learn(attempt, end, nowMs);
+    suspicion.ended(attempt);
+    if (!attempt.job.dropped) {
+      followUp(attempt, end, hopeless, nowMs);
+    }
+  }
+
+  @Override
+  public void usageReported(String workerId, UsageReport report, long nowMs) {
+    WorkerLoad worker = cell.ledger.worker(workerId);
+    if (worker == null) {
+      return;
+    }
+    Resources limit = Amounts.shareOf(worker.capacity(), 1 - cell.settings.capacityMargin());
+    boolean fresh =
+        worker.learner.reported(report, limit, worker.attempts.values(), workWaits(), nowMs);
+    if (fresh) {
+      UsageAttribution.attribute(worker, report, nowMs, cell.sizes);
+      worker.refresh();
+      cell.gainedRoom.add(worker);
+    }
+  }
+
+  @Override
+  public List<Decision> decide(long nowMs) {
+    cell.decision++;
+    delayed.release(nowMs, (job, tasks) -> queueAttempts(job, tasks, nowMs));
+    suspicion.update(nowMs);
+    reservations.update(nowMs);
+    List<Decision> decisions = startAll(nowMs);
+    admission.started(decisions.size(), nowMs);
+    preemption.relieve(nowMs, decisions);
+    preemption.restore(decisions);
+    decisions.addAll(givenUp);
+    givenUp.clear();
+    return decisions;
+  }
+
+  @Override
+  public List<String> explain(String jobId, long nowMs) {
+    QueuedJob job = jobs.get(jobId);
+    return job == null ? List.of() : explainer.explain(job, nowMs);
+  }
+
+  @Override
+  public Resources learnedCapacity(String workerId) {
+    WorkerLoad worker = cell.ledger.worker(workerId);
+    return worker == null || !worker.present() ? Resources.NONE : worker.learnedCapacity();
+  }
+
+  private RetryRules retryRules(PolicySettings settings) {
+    return new RetryRules(
+        settings.maxAttempts(), settings.retryBaseDelayMs(), settings.retryMaxDelayMs(), random);
+  }
+
+  private QueuedJob jobOrNew(String jobId, JobSpec spec) {
+    return jobs.computeIfAbsent(jobId, id -> new QueuedJob(id, spec));
+  }
+
+  private boolean workWaits() {
+    return queue.waitingTasks() > 0;
+  }
+
+  private void queueAttempts(QueuedJob job, Collection<TaskId> tasks, long nowMs) {
+    if (!tasks.isEmpty() && job.queue == null) {
+      job.agingSinceMs = nowMs;
+    }
+    job.addWaiting(tasks);
+    if (job.ready() && !unplaceable.contains(job)) {
+      queue.add(job);
+    }
+  }
+
+  private void drop(QueuedJob job) {
+    job.drop();
+    queue.remove(job);
+    reservations.release(job);
+    unplaceable.remove(job);
+  }
+
+  private void giveUp(QueuedJob job, ReasonType type, String message) {
+    jobs.remove(job.jobId);
+    drop(job);
+    givenUp.add(new Decision.GiveUp(job.jobId, new Reason(type, message)));
+  }
+
+  private void workersChanged() {
+    cell.workersChanged();
+    queue.setTotal(cell.total());
+  }
+
+  private void retryUnplaceable() {
+    List<QueuedJob> parked = List.copyOf(unplaceable);
+    unplaceable.clear();
+    parked.stream().filter(QueuedJob::ready).forEach(queue::add);
+  }
+
+  /** Learns from an end; returns whether the job can't succeed anywhere. */
+  private boolean learn(RunningAttempt attempt, TaskEnd end, long nowMs) {
+    if (end.outcome() == TaskEnd.Outcome.FAILED) {
+      attempt.job.countFailure(attempt.task.index());
+      return suspicion.failed(attempt, nowMs);
+    }
+    if (end.outcome() == TaskEnd.Outcome.SUCCEEDED) {
+      suspicion.succeeded(attempt);
+      if (attempt.drains() && !attempt.everThrottled) {
+        learnRunTime(attempt, end.ranMs(), nowMs);
+      }
+    }
+    return false;
+  }
+
+  private void learnRunTime(RunningAttempt attempt, long ranMs, long nowMs) {
+    WorkerLoad worker = attempt.worker;
+    WorkKey key = attempt.job.workKey;
+    worker.learner.completed(cell.sizes.relativeRunTime(key, ranMs), workWaits(), nowMs);
+    worker.refresh();
+    cell.sizes.ran(key, worker.workerId, ranMs);
+  }
+
+  private void followUp(RunningAttempt attempt, TaskEnd end, boolean hopeless, long nowMs) {
+    QueuedJob job = attempt.job;
+    TaskId task = attempt.task;
+    int failures = job.failures(task.index());
+    RetryRules.Verdict verdict = retryRules.judge(job, failures, end.outcome());
+    if (verdict != RetryRules.Verdict.OVER && attempt.drains() && hopeless) {
+      giveUp(job, ReasonType.FAILED_REPEATEDLY, failedOn(job));
+      return;
+    }
+    TaskId next = new TaskId(task.jobId(), task.index(), task.attempt() + 1);
+    switch (verdict) {
+      case RETRY_NOW -> queueAttempts(job, List.of(next), nowMs);
+      case RETRY_LATER -> delayed.add(job, next, nowMs + retryRules.delayMs(failures));
+      case EXHAUSTED -> giveUp(job, ReasonType.FAILED_REPEATEDLY, exhausted(task));
+      default -> forgetIfOver(job);
+    }
+  }
+
+  private static String failedOn(QueuedJob job) {
+    return "it failed on "
+        + job.failedWorkers.size()
+        + " workers that run other work: "
+        + String.join(", ", job.failedWorkers);
+  }
+
+  private String exhausted(TaskId task) {
+    return "task "
+        + task
+        + " failed; at most "
+        + cell.settings.maxAttempts()
+        + " attempts are made";
+  }
+
+  private void forgetIfOver(QueuedJob job) {
+    if (job.over()) {
+      jobs.remove(job.jobId);
+    }
+  }
+
+  private boolean gainedRoomFor(QueuedJob job, long nowMs) {
+    if (job.allAtOnce()) {
+      return !cell.gainedRoom.isEmpty();
+    }
+    Resources expected = cell.expected(job);
+    for (WorkerLoad worker : cell.gainedRoom) {
+      if (cell.hasRoom(worker, job, expected) && cell.admits(worker, job, nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private List<Decision> startAll(long nowMs) {
+    List<Decision> decisions = new ArrayList<>();
+    startReserved(nowMs, decisions);
+    queue.unblock(job -> gainedRoomFor(job, nowMs));
+    cell.gainedRoom.clear();
+    for (JobClass jobClass : JobClass.values()) {
+      startClass(jobClass, nowMs, decisions);
+    }
+    return decisions;
+  }
+
+  private void startReserved(long nowMs, List<Decision> decisions) {
+    if (cell.gainedRoom.isEmpty()) {
+      return;
+    }
+    for (QueuedJob job : reservations.jobs()) {
+      if (job.queue == null) {
+        reservations.release(job);
+      } else if (queue.allows(job)) {
+        start(job, nowMs, decisions);
+      }
+    }
+  }
+
+  private void startClass(JobClass jobClass, long nowMs, List<Decision> decisions) {
+    while (decisions.size() < cell.settings.maxStartsPerDecision()) {
+      QueuedJob job = queue.next(jobClass);
+      if (job == null || (jobClass == JobClass.BATCH && headroomUsedUp())) {
+        return;
+      }
+      if (!queue.everAllows(job)) {
+        queue.remove(job);
+        unplaceable.add(job);
+      } else if (!queue.allows(job)) {
+        queue.hold(job);
+      } else if (!start(job, nowMs, decisions)) {
+        putAside(job, nowMs);
+      }
+    }
+  }
+
+  private boolean headroomUsedUp() {
+    double limit = cell.total().slots() * (1 - cell.settings.urgentHeadroomShare());
+    return cell.ledger.used().slots() >= limit;
+  }
+
+  /** Starts the next task of a job, or all tasks of an all-at-once job. */
+  private boolean start(QueuedJob job, long nowMs, List<Decision> decisions) {
+    List<RunningAttempt> started = place(job, nowMs);
+    for (RunningAttempt attempt : started) {
+      job.removeWaiting(attempt.task.index());
+      queue.charge(job.team(), job.demand());
+      suspicion.started(attempt);
+      decisions.add(new Decision.Start(attempt.task, attempt.worker.workerId));
+    }
+    if (started.isEmpty()) {
+      return false;
+    }
+    reservations.release(job);
+    queue.restartAging(job, nowMs);
+    queue.recount(job);
+    return true;
+  }
+
+  private List<RunningAttempt> place(QueuedJob job, long nowMs) {
+    if (job.allAtOnce()) {
+      return placement.startAll(job, nowMs);
+    }
+    RunningAttempt attempt = placement.startOne(job, nowMs);
+    return attempt == null ? List.of() : List.of(attempt);
+  }
+
+  /** Passes a job over that fits nowhere at present. */
+  private void putAside(QueuedJob job, long nowMs) {
+    if (!cell.couldHold(job)) {
+      putAsideUnplaceable(job);
+    } else if (job.failedWorkers.isEmpty()) {
+      queue.block(job);
+    } else if (otherWorkerCouldHold(job)) {
+      queue.remove(job);
+      delayed.park(job, nowMs + AVOIDANCE_DELAY_MS);
+    } else {
+      job.failedWorkers.clear();
+    }
+  }
+
+  private void putAsideUnplaceable(QueuedJob job) {
+    queue.remove(job);
+    if (cell.settings.giveUpNeverFits() && !cell.everHeld(job)) {
+      giveUp(job, ReasonType.NEVER_FITS, "no worker ever declared room for " + job.demand());
+    } else {
+      unplaceable.add(job);
+    }
+  }
+
+  private boolean otherWorkerCouldHold(QueuedJob job) {
+    return cell.ledger.workers().stream()
+        .filter(worker -> worker.open() && !worker.health.suspect)
+        .filter(worker -> !job.failedWorkers.contains(worker.workerId))
+        .anyMatch(worker -> job.demand().fitsIn(worker.capacity()));
+  }
+}
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Preemption.java
@@ -0,0 +1,200 @@
+package org.hickorymoor.domain.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobClass;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Makes room for urgent jobs on workers that class BATCH fills.
+ *
+ * <p>Where only processor time of the learned capacity is short, batch tasks are throttled; else
+ * those that lose the least run time are stopped. Jobs that must not be repeated are never stopped.
+ */
+final class Preemption {
+
+  private static final int MAX_JOBS_PER_DECISION = 16;
+  private static final int MAX_TASKS_PER_JOB = 16;
+  private static final long STOP_TIMEOUT_MS = 5_000;
+  private static final long THROTTLE_LOSS_MS = 0;
+
+  private final Cell cell;
+  private final FairQueue queue;
+  private final Set<RunningAttempt> throttled = new LinkedHashSet<>();
+
+  Preemption(Cell cell, FairQueue queue) {
+    this.cell = cell;
+    this.queue = queue;
+  }
+
+  /** Decides what to throttle and stop for urgent jobs that have waited long enough. */
+  void relieve(long nowMs, List<Decision> decisions) {
+    List<QueuedJob> jobs =
+        queue.arrivals(JobClass.URGENT).stream().limit(MAX_JOBS_PER_DECISION).toList();
+    for (QueuedJob job : jobs) {
+      boolean due =
+          nowMs - job.agingSinceMs >= cell.settings.preemptAfterMs()
+              && nowMs >= job.preemptionUntilMs;
+      if (due && !job.allAtOnce() && queue.allows(job)) {
+        makeRoom(job, nowMs, decisions);
+      }
+    }
+  }
+
+  /** Lets throttled tasks run at full speed again once no urgent job waits and there is room. */
+  void restore(List<Decision> decisions) {
+    if (!queue.arrivals(JobClass.URGENT).isEmpty()) {
+      return;
+    }
+    for (RunningAttempt attempt : List.copyOf(throttled)) {
+      int missing = attempt.job.demand().cpuMillis() - attempt.effective.cpuMillis();
+      if (missing <= attempt.worker.learnedFree().cpuMillis()) {
+        throttled.remove(attempt);
+        decisions.add(throttle(attempt, RunningAttempt.FULL_SPEED_PERCENT));
+      }
+    }
+  }
+
+  void ended(RunningAttempt attempt) {
+    throttled.remove(attempt);
+  }
+
+  private void makeRoom(QueuedJob job, long nowMs, List<Decision> decisions) {
+    int tasks = Math.min(MAX_TASKS_PER_JOB, job.waiting().size());
+    for (int i = 0; i < tasks; i++) {
+      Plan plan = cheapestPlan(job, nowMs);
+      if (plan == null) {
+        return;
+      }
+      carryOut(plan, job, nowMs, decisions);
+    }
+    job.preemptionUntilMs = nowMs + STOP_TIMEOUT_MS;
+  }
+
+  private void carryOut(Plan plan, QueuedJob job, long nowMs, List<Decision> decisions) {
+    for (RunningAttempt victim : plan.victims) {
+      if (plan.throttles) {
+        throttled.add(victim);
+        decisions.add(throttle(victim, cell.settings.throttlePercent()));
+        cell.gainedRoom.add(victim.worker);
+      } else {
+        decisions.add(stop(victim, nowMs));
+      }
+    }
+    if (!plan.throttles) {
+      plan.worker.promised = plan.worker.promised.plus(job.demand());
+    }
+  }
+
+  private static Decision throttle(RunningAttempt attempt, int percent) {
+    attempt.worker.throttle(attempt, percent);
+    return new Decision.Throttle(attempt.task, attempt.worker.workerId, percent);
+  }
+
+  private Decision stop(RunningAttempt attempt, long nowMs) {
+    attempt.preemptedUntilMs = nowMs + STOP_TIMEOUT_MS;
+    boolean checkpoint = nowMs - attempt.startedMs >= cell.settings.checkpointAfterMs();
+    return new Decision.Preempt(attempt.task, attempt.worker.workerId, checkpoint);
+  }
+
+  private @Nullable Plan cheapestPlan(QueuedJob job, long nowMs) {
+    Resources expected = cell.expected(job);
+    Plan best = null;
+    for (WorkerLoad worker : cell.ledger.workers()) {
+      if (!usable(worker, job)) {
+        continue;
+      }
+      Plan plan = throttlePlan(worker, job, expected, nowMs);
+      if (plan == null) {
+        plan = stopPlan(worker, job, expected, nowMs);
+      }
+      if (plan != null && (best == null || plan.lossMs < best.lossMs)) {
+        best = plan;
+      }
+    }
+    return best;
+  }
+
+  private static boolean usable(WorkerLoad worker, QueuedJob job) {
+    return worker.open()
+        && !worker.health.suspect
+        && !job.failedWorkers.contains(worker.workerId)
+        && job.demand().fitsIn(worker.capacity());
+  }
+
+  /** Returns a plan that frees processor time alone, or null if that does not help. */
+  private @Nullable Plan throttlePlan(
+      WorkerLoad worker, QueuedJob job, Resources expected, long nowMs) {
+    if (!job.demand().fitsIn(worker.free())) {
+      return null;
+    }
+    Resources learnedFree = worker.learnedFree();
+    List<RunningAttempt> victims = new ArrayList<>();
+    for (RunningAttempt attempt : worker.attempts.values()) {
+      if (expected.fitsIn(learnedFree)) {
+        break;
+      }
+      if (attempt.throttleable(nowMs)) {
+        Resources slow = attempt.effectiveAt(cell.settings.throttlePercent());
+        learnedFree = learnedFree.plus(attempt.effective.minus(slow));
+        victims.add(attempt);
+      }
+    }
+    boolean helps = !victims.isEmpty() && expected.fitsIn(learnedFree);
+    return helps ? new Plan(worker, victims, true, THROTTLE_LOSS_MS) : null;
+  }
+
+  /** Returns a plan that stops the tasks with the least run time, or null if none suffices. */
+  private @Nullable Plan stopPlan(
+      WorkerLoad worker, QueuedJob job, Resources expected, long nowMs) {
+    Resources coming = comingFree(worker, nowMs);
+    List<RunningAttempt> victims = new ArrayList<>();
+    long lossMs = 0;
+    for (RunningAttempt attempt : latestFirst(worker, nowMs)) {
+      if (suffices(worker, job, expected, coming)) {
+        break;
+      }
+      victims.add(attempt);
+      coming = coming.plus(attempt.job.demand());
+      lossMs += 1 + nowMs - attempt.startedMs;
+    }
+    return suffices(worker, job, expected, coming)
+        ? new Plan(worker, victims, false, lossMs)
+        : null;
+  }
+
+  private static boolean suffices(
+      WorkerLoad worker, QueuedJob job, Resources expected, Resources coming) {
+    boolean empty = worker.used().minus(coming).fitsIn(Resources.NONE);
+    return job.demand().fitsIn(worker.free().plus(coming))
+        && (empty || expected.fitsIn(worker.learnedFree().plus(coming)));
+  }
+
+  /** Returns what stops on the way will free, less what other urgent jobs were promised. */
+  private static Resources comingFree(WorkerLoad worker, long nowMs) {
+    Resources coming = Resources.NONE;
+    for (RunningAttempt attempt : worker.attempts.values()) {
+      if (attempt.preempted(nowMs)) {
+        coming = coming.plus(attempt.job.demand());
+      }
+    }
+    if (coming.equals(Resources.NONE)) {
+      worker.promised = Resources.NONE;
+    }
+    return coming.minus(worker.promised);
+  }
+
+  private static List<RunningAttempt> latestFirst(WorkerLoad worker, long nowMs) {
+    return worker.attempts.values().stream()
+        .filter(attempt -> attempt.preemptible(nowMs))
+        .sorted(Comparator.comparingLong((RunningAttempt a) -> a.startedMs).reversed())
+        .toList();
+  }
+
+  private record Plan(
+      WorkerLoad worker, List<RunningAttempt> victims, boolean throttles, long lossMs) {}
+}
--- a/domain/src/main/java/org/hickorymoor/domain/policy/QueuedJob.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/QueuedJob.java
@@ -1,14 +1,18 @@
 package org.hickorymoor.domain.policy;
 
-import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobClass;
 import org.hickorymoor.domain.job.JobKind;
 import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.Spread;
 import org.hickorymoor.domain.job.TaskId;
+import org.jspecify.annotations.Nullable;
 
 /** A job that the scheduler knows, with the attempts of it that wait. */
 final class QueuedJob {
@@ -16,22 +20,33 @@
   final String jobId;
   final JobSpec spec;
   final WorkKey workKey;
-  final ArrayDeque<TaskId> waiting = new ArrayDeque<>();
 
   /** Workers on which an attempt failed. */
   final Set<String> failedWorkers = new HashSet<>();
 
+  /** Number of attempts that count as in use in each rack. */
+  final Map<String, Integer> runningByRack = new LinkedHashMap<>();
+
+  /** Place in the fair queue, or null while it is in none. */
+  @Nullable TeamQueue queue;
+
+  /** Workers held for it, or null. */
+  @Nullable Reservation reservation;
+
   /** Order of arrival; lower came first. */
   long sequence;
 
-  /** Time since which its oldest waiting attempt waits. */
-  long waitingSinceMs;
+  /** Time since which it waits without a start or a reservation. */
+  long agingSinceMs;
 
-  /** Time until which attempts freed for it by preemption are awaited. */
+  /** Time until which room freed for it by preemption is awaited. */
   long preemptionUntilMs;
 
-  /** Time before which it gets no reservation again. */
-  long noReservationUntilMs;
+  /** Times that work in need of accelerators went first. */
+  int acceleratorSkips;
+
+  /** Waiting attempts that the fair queue has counted. */
+  int countedWaiting;
 
   /** Attempts that wait for the end of their back-off. */
   int backingOff;
@@ -39,12 +54,15 @@
   /** Attempts that count as in use on a worker. */
   int running;
 
-  /** Attempts that failed so far. */
-  int failures;
+  /** True once an attempt succeeded. */
+  boolean succeededOnce;
 
   /** True once it is cancelled or given up: nothing of it starts any more. */
   boolean dropped;
 
+  private final Map<Integer, Integer> failures = new HashMap<>();
+  private Map<Integer, TaskId> waiting = new LinkedHashMap<>();
+
   QueuedJob(String jobId, JobSpec spec) {
     this.jobId = jobId;
     this.spec = spec;
@@ -67,6 +85,14 @@
     return spec.kind() == JobKind.ALL_AT_ONCE;
   }
 
+  boolean spreadOverRacks() {
+    return spec.kind() == JobKind.SERVICE || spec.spread() == Spread.RACKS;
+  }
+
+  Collection<TaskId> waiting() {
+    return waiting.values();
+  }
+
   /** Tells whether its waiting attempts may start: those of an all-at-once job go together. */
   boolean ready() {
     return !waiting.isEmpty() && !(allAtOnce() && backingOff > 0);
@@ -80,13 +106,27 @@
   /** Adds attempts, each index at most once: a later attempt takes the place of an earlier one. */
   void addWaiting(Collection<TaskId> attempts) {
     for (TaskId attempt : attempts) {
-      removeWaiting(attempt.index());
-      waiting.add(attempt);
+      waiting.put(attempt.index(), attempt);
     }
   }
 
   /** Removes the waiting attempt at a task, if there is one. */
-  boolean removeWaiting(int index) {
-    return waiting.removeIf(attempt -> attempt.index() == index);
+  void removeWaiting(int index) {
+    waiting.remove(index);
+  }
+
+  void countFailure(int index) {
+    failures.merge(index, 1, Integer::sum);
+  }
+
+  /** Returns how often a task has failed. */
+  int failures(int index) {
+    return failures.getOrDefault(index, 0);
+  }
+
+  /** Forgets all waiting attempts, in constant time. */
+  void drop() {
+    dropped = true;
+    waiting = new LinkedHashMap<>();
   }
 }
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Reservations.java
@@ -0,0 +1,133 @@
+package org.hickorymoor.domain.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobClass;
+
+/**
+ * Drains workers for jobs that have waited too long, so that smaller ones don't starve them.
+ *
+ * <p>A job gets all the workers it needs or none, so two of them can't wait for each other. Every
+ * reservation ends with the start of its job, with its cancellation, or by its expiry.
+ */
+final class Reservations {
+
+  private static final int MAX_RESERVATIONS = 4;
+  private static final int MAX_CANDIDATES_PER_CLASS = 8;
+
+  private final Cell cell;
+  private final FairQueue queue;
+  private final Map<QueuedJob, Reservation> reservations = new LinkedHashMap<>();
+
+  Reservations(Cell cell, FairQueue queue) {
+    this.cell = cell;
+    this.queue = queue;
+  }
+
+  /** Returns the jobs that workers are held for, in the order of their grants. */
+  Collection<QueuedJob> jobs() {
+    return List.copyOf(reservations.keySet());
+  }
+
+  /** Ends what has expired and grants what is due. */
+  void update(long nowMs) {
+    expire(nowMs);
+    for (JobClass jobClass : JobClass.values()) {
+      grantOldest(queue.arrivals(jobClass), nowMs);
+    }
+  }
+
+  /** Releases the workers held for a job, if there are any. */
+  void release(QueuedJob job) {
+    Reservation reservation = reservations.remove(job);
+    if (reservation != null) {
+      job.reservation = null;
+      reservation.workers().forEach(this::release);
+    }
+  }
+
+  private void release(WorkerLoad worker) {
+    worker.reservation = null;
+    cell.gainedRoom.add(worker);
+  }
+
+  private void expire(long nowMs) {
+    for (Reservation reservation : new ArrayList<>(reservations.values())) {
+      if (reservation.expiresMs() <= nowMs || !allOpen(reservation.workers())) {
+        release(reservation.job());
+        queue.restartAging(reservation.job(), nowMs);
+      }
+    }
+  }
+
+  private static boolean allOpen(List<WorkerLoad> workers) {
+    return workers.stream().allMatch(WorkerLoad::open);
+  }
+
+  private void grantOldest(Collection<QueuedJob> jobs, long nowMs) {
+    for (QueuedJob job : oldest(jobs)) {
+      if (reservations.size() >= MAX_RESERVATIONS || !aged(job, nowMs)) {
+        return;
+      }
+      if (job.reservation == null && !grant(job, nowMs)) {
+        queue.restartAging(job, nowMs);
+      }
+    }
+  }
+
+  private static List<QueuedJob> oldest(Collection<QueuedJob> jobs) {
+    return jobs.stream().limit(MAX_CANDIDATES_PER_CLASS).toList();
+  }
+
+  private boolean aged(QueuedJob job, long nowMs) {
+    return nowMs - job.agingSinceMs >= cell.settings.reservationAfterMs();
+  }
+
+  /** Holds workers for a job; returns whether there were enough. */
+  private boolean grant(QueuedJob job, long nowMs) {
+    if (!queue.allows(job)) {
+      return false;
+    }
+    int wanted = job.allAtOnce() ? job.waiting().size() : 1;
+    List<WorkerLoad> chosen = new ArrayList<>();
+    for (WorkerLoad worker : byRoom(job)) {
+      if (wanted <= 0) {
+        break;
+      }
+      wanted -= countDrained(worker, job.demand());
+      chosen.add(worker);
+    }
+    if (wanted > 0) {
+      return false;
+    }
+    Reservation reservation = new Reservation(job, chosen, nowMs + cell.settings.reservationMs());
+    reservations.put(job, reservation);
+    job.reservation = reservation;
+    chosen.forEach(worker -> worker.reservation = reservation);
+    cell.gainedRoom.addAll(chosen);
+    return true;
+  }
+
+  /** Returns the workers that could hold part of a job once drained, the emptiest first. */
+  private List<WorkerLoad> byRoom(QueuedJob job) {
+    return cell.ledger.workers().stream()
+        .filter(worker -> worker.open() && worker.reservation == null && !worker.health.suspect)
+        .filter(worker -> !job.failedWorkers.contains(worker.workerId))
+        .filter(worker -> countDrained(worker, job.demand()) > 0)
+        .sorted(Comparator.comparingDouble(Reservations::drainingShare))
+        .toList();
+  }
+
+  private static int countDrained(WorkerLoad worker, Resources demand) {
+    return Amounts.count(worker.free().plus(worker.draining()), demand);
+  }
+
+  private static double drainingShare(WorkerLoad worker) {
+    return Amounts.dominantShare(worker.draining(), worker.capacity());
+  }
+}
--- a/domain/src/main/java/org/hickorymoor/domain/policy/RetryRules.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/RetryRules.java
@@ -39,11 +39,11 @@
    * Judges an end. An attempt that never ran may be followed by another one even where the job must
    * not be repeated.
    *
-   * @param job the job, with this failure already counted
-   * @param attempt number of the attempt that ended
+   * @param job the job
+   * @param failures how often the task has failed, this time included
    * @param outcome how it ended
    */
-  Verdict judge(QueuedJob job, int attempt, TaskEnd.Outcome outcome) {
+  Verdict judge(QueuedJob job, int failures, TaskEnd.Outcome outcome) {
     if (outcome == TaskEnd.Outcome.NOT_STARTED) {
       return Verdict.RETRY_LATER;
     }
@@ -56,13 +56,13 @@
     return switch (outcome) {
       case SUCCEEDED -> Verdict.OVER;
       case STOPPED -> Verdict.RETRY_NOW;
-      default -> attempt >= maxFailures ? Verdict.EXHAUSTED : Verdict.RETRY_LATER;
+      default -> failures >= maxFailures ? Verdict.EXHAUSTED : Verdict.RETRY_LATER;
     };
   }
 
-  /** Returns a delay that doubles with each attempt, of which a random half is taken off. */
-  long delayMs(int attempt) {
-    int doublings = Math.min(attempt - 1, MAX_DOUBLINGS);
+  /** Returns a delay that doubles with each failure, of which up to a random half is taken off. */
+  long delayMs(int failures) {
+    int doublings = Math.min(Math.max(0, failures - 1), MAX_DOUBLINGS);
     long fullMs = Math.min(maxDelayMs, baseDelayMs << doublings);
     long halfMs = fullMs / 2;
     return halfMs + random.nextLong(halfMs + 1);
--- a/domain/src/main/java/org/hickorymoor/domain/policy/TaskLedger.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/TaskLedger.java
@@ -4,14 +4,26 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.TaskId;
 import org.jspecify.annotations.Nullable;
 
 /** Keeps account of the workers and of every attempt that counts as in use. */
 final class TaskLedger {
 
+  private final double initialCapacityShare;
   private final Map<String, WorkerLoad> workers = new LinkedHashMap<>();
   private final Map<TaskId, RunningAttempt> attempts = new HashMap<>();
+  private Resources used = Resources.NONE;
+
+  /**
+   * Creates a ledger without workers.
+   *
+   * @param initialCapacityShare share of its declared capacity that a new worker is trusted with
+   */
+  TaskLedger(double initialCapacityShare) {
+    this.initialCapacityShare = initialCapacityShare;
+  }
 
   WorkerLoad seen(WorkerProfile profile) {
     WorkerLoad worker = workerOrNew(profile.workerId());
@@ -30,16 +42,19 @@
   }
 
   /** Counts an attempt as in use; one that is counted already stays as it is. */
-  RunningAttempt start(TaskId task, QueuedJob job, String workerId, long nowMs) {
+  RunningAttempt start(
+      TaskId task, QueuedJob job, String workerId, Resources expected, long nowMs) {
     RunningAttempt known = attempts.get(task);
     if (known != null) {
       return known;
     }
     WorkerLoad worker = workerOrNew(workerId);
-    RunningAttempt attempt = new RunningAttempt(task, job, worker, nowMs);
+    RunningAttempt attempt = new RunningAttempt(task, job, worker, expected, nowMs);
     worker.add(attempt);
     attempts.put(task, attempt);
     job.running++;
+    job.runningByRack.merge(attempt.rack, 1, Integer::sum);
+    used = used.plus(job.demand());
     return attempt;
   }
 
@@ -49,6 +64,8 @@
     if (attempt != null) {
       attempt.worker.remove(attempt);
       attempt.job.running--;
+      attempt.job.runningByRack.merge(attempt.rack, -1, TaskLedger::sumOrNone);
+      used = used.minus(attempt.job.demand());
       forgetIfGone(attempt.worker);
     }
     return attempt;
@@ -62,12 +79,21 @@
     return workers.get(workerId);
   }
 
-  int attemptCount() {
-    return attempts.size();
+  @Nullable RunningAttempt attempt(TaskId task) {
+    return attempts.get(task);
+  }
+
+  /** Returns the declared size of all that counts as in use. */
+  Resources used() {
+    return used;
+  }
+
+  private static @Nullable Integer sumOrNone(int a, int b) {
+    return a + b == 0 ? null : a + b;
   }
 
   private WorkerLoad workerOrNew(String workerId) {
-    return workers.computeIfAbsent(workerId, WorkerLoad::new);
+    return workers.computeIfAbsent(workerId, id -> new WorkerLoad(id, initialCapacityShare));
   }
 
   private void forgetIfGone(WorkerLoad worker) {
--- a/domain/src/main/java/org/hickorymoor/domain/policy/WorkerLoad.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/WorkerLoad.java
@@ -4,31 +4,56 @@
 import java.util.Map;
 import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.TaskId;
+import org.jspecify.annotations.Nullable;
 
 /** A worker and the attempts that count as in use on it. */
 final class WorkerLoad {
 
   final String workerId;
   final Map<TaskId, RunningAttempt> attempts = new LinkedHashMap<>();
+  final CapacityLearner learner;
+  final WorkerHealth health = new WorkerHealth();
+
+  /** Reservation that it is held for, or null. */
+  @Nullable Reservation reservation;
+
+  /** What was promised to urgent jobs out of the room of preempted attempts. */
+  Resources promised = Resources.NONE;
+
+  /** Number of the decision in which an attempt last started here. */
+  long lastStartDecision;
+
+  /** Time of the last end of an attempt here. */
+  long lastEndMs = Long.MIN_VALUE;
+
   private WorkerProfile profile;
   private Resources used = Resources.NONE;
+  private Resources effective = Resources.NONE;
+  private Resources free = Resources.NONE;
+  private Resources learnedFree = Resources.NONE;
   private boolean present;
 
   /** Creates a worker of which nothing is declared yet. */
-  WorkerLoad(String workerId) {
+  WorkerLoad(String workerId, double initialCapacityShare) {
     this.workerId = workerId;
     this.profile = new WorkerProfile(workerId, "", Resources.NONE, false);
+    this.learner = new CapacityLearner(initialCapacityShare);
   }
 
   void seen(WorkerProfile newProfile) {
     profile = newProfile;
     present = true;
+    refresh();
   }
 
   void lost() {
     present = false;
   }
 
+  WorkerProfile profile() {
+    return profile;
+  }
+
   boolean present() {
     return present;
   }
@@ -46,27 +71,77 @@
     return profile.capacity();
   }
 
+  Resources learnedCapacity() {
+    return learner.learned(profile.capacity());
+  }
+
   Resources used() {
     return used;
   }
 
+  /** Returns the declared capacity that is not in use. */
   Resources free() {
-    return profile.capacity().minus(used);
+    return free;
+  }
+
+  /** Returns the learned capacity that is not in use. */
+  Resources learnedFree() {
+    return learnedFree;
+  }
+
+  /** Tells whether nothing is left on it but what runs for good. */
+  boolean drained() {
+    return attempts.values().stream().noneMatch(RunningAttempt::drains);
+  }
+
+  /** Returns what the attempts that end by themselves count for. */
+  Resources draining() {
+    Resources sum = Resources.NONE;
+    for (RunningAttempt attempt : attempts.values()) {
+      if (attempt.drains()) {
+        sum = sum.plus(attempt.job.demand());
+      }
+    }
+    return sum;
+  }
+
+  /**
+   * Tells whether there is room. A single attempt may have all that is declared, so that learning
+   * never keeps a large one away for good.
+   */
+  boolean holds(Resources declared, Resources expected) {
+    return declared.fitsIn(free) && (attempts.isEmpty() || expected.fitsIn(learnedFree));
   }
 
   void add(RunningAttempt attempt) {
     attempts.put(attempt.task, attempt);
-    used = used.plus(attempt.counted);
+    used = used.plus(attempt.job.demand());
+    effective = effective.plus(attempt.effective);
+    learner.started(attempt);
+    refresh();
   }
 
   void remove(RunningAttempt attempt) {
     attempts.remove(attempt.task);
-    used = used.minus(attempt.counted);
+    used = used.minus(attempt.job.demand());
+    effective = effective.minus(attempt.effective);
+    learner.ended(attempt);
+    refresh();
+  }
+
+  /** Changes the speed that a running attempt is allowed. */
+  void throttle(RunningAttempt attempt, int percent) {
+    effective = effective.minus(attempt.effective);
+    attempt.percent = percent;
+    attempt.everThrottled = true;
+    attempt.effective = attempt.effectiveAt(percent);
+    effective = effective.plus(attempt.effective);
+    refresh();
   }
 
-  /** Changes what a running attempt counts for. */
-  void recount(RunningAttempt attempt, Resources counted) {
-    used = used.minus(attempt.counted).plus(counted);
-    attempt.counted = counted;
+  /** Works out anew what is free, after the learned capacity changed. */
+  void refresh() {
+    free = profile.capacity().minus(used);
+    learnedFree = learnedCapacity().minus(Amounts.max(effective, learner.observed()));
   }
 }
