Bound how long a retry avoids the workers where it failed

Cause: a retry whose only other worker was always full waited for ever, since it avoided every worker where it had failed. Found by the example test of bad jobs among good ones.

Ruled out: forgetting where it failed, since that is the evidence for giving the job up.

Change: after four delays in a row a retry may start anywhere. An attempt after a failure prefers a worker that is known to run other work, which tells most.

--- a/domain/src/main/java/org/hickorymoor/domain/policy/Placement.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Placement.java
@@ -12,6 +12,9 @@
   /** Spreading goes before the weights, which add up to a few units at most. */
   private static final double SPREAD_WEIGHT = 1_000;
 
+  /** An attempt after a failure tells most on a worker that is known to run other work. */
+  private static final double PROVEN_WEIGHT = 100;
+
   private final Cell cell;
 
   Placement(Cell cell) {
@@ -58,7 +61,7 @@
       if (!cell.hasRoom(worker, job, expected) || !cell.admits(worker, job, nowMs)) {
         continue;
       }
-      if (job.failedWorkers.contains(worker.workerId)) {
+      if (job.avoids(worker.workerId)) {
         continue;
       }
       double score = score(worker, job);
@@ -96,6 +99,9 @@
         settings.packingWeight() * fullness
             + settings.waitingWeight() * speed
             + settings.controlWeight() * touched;
+    if (!job.failedWorkers.isEmpty() && worker.health.sound()) {
+      score += PROVEN_WEIGHT;
+    }
     return job.spreadOverRacks() ? score - SPREAD_WEIGHT * crowding(worker, job) : score;
   }
 
--- a/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
@@ -208,7 +208,7 @@
   }
 
   private void queueAttempts(QueuedJob job, Collection<TaskId> tasks, long nowMs) {
-    if (!tasks.isEmpty() && job.queue == null) {
+    if (job.queue == null) {
       job.agingSinceMs = nowMs;
     }
     job.addWaiting(tasks);
@@ -375,6 +375,7 @@
       return false;
     }
     reservations.release(job);
+    job.avoidanceDelays = 0;
     queue.restartAging(job, nowMs);
     queue.recount(job);
     return true;
@@ -392,13 +393,14 @@
   private void putAside(QueuedJob job, long nowMs) {
     if (!cell.couldHold(job)) {
       putAsideUnplaceable(job);
-    } else if (job.failedWorkers.isEmpty()) {
+    } else if (!job.avoidsSome()) {
       queue.block(job);
     } else if (otherWorkerCouldHold(job)) {
+      job.avoidanceDelays++;
       queue.remove(job);
       delayed.park(job, nowMs + AVOIDANCE_DELAY_MS);
     } else {
-      job.failedWorkers.clear();
+      job.stopAvoiding();
     }
   }
 
@@ -414,7 +416,7 @@
   private boolean otherWorkerCouldHold(QueuedJob job) {
     return cell.ledger.workers().stream()
         .filter(worker -> worker.open() && !worker.health.suspect)
-        .filter(worker -> !job.failedWorkers.contains(worker.workerId))
+        .filter(worker -> !job.avoids(worker.workerId))
         .anyMatch(worker -> job.demand().fitsIn(worker.capacity()));
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/policy/Preemption.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Preemption.java
@@ -122,7 +122,7 @@
   private static boolean usable(WorkerLoad worker, QueuedJob job) {
     return worker.open()
         && !worker.health.suspect
-        && !job.failedWorkers.contains(worker.workerId)
+        && !job.avoids(worker.workerId)
         && job.demand().fitsIn(worker.capacity());
   }
 
--- a/domain/src/main/java/org/hickorymoor/domain/policy/QueuedJob.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/QueuedJob.java
@@ -17,13 +17,18 @@
 /** A job that the scheduler knows, with the attempts of it that wait. */
 final class QueuedJob {
 
+  private static final int MAX_AVOIDANCE_DELAYS = 4;
+
   final String jobId;
   final JobSpec spec;
   final WorkKey workKey;
 
-  /** Workers on which an attempt failed. */
+  /** Workers on which an attempt failed, until one succeeds. */
   final Set<String> failedWorkers = new HashSet<>();
 
+  /** Delays since the last start that were spent on avoiding those workers. */
+  int avoidanceDelays;
+
   /** Number of attempts that count as in use in each rack. */
   final Map<String, Integer> runningByRack = new LinkedHashMap<>();
 
@@ -115,6 +120,21 @@
     waiting.remove(index);
   }
 
+  /** Tells whether it waits for another worker rather than starting on this one. */
+  boolean avoids(String workerId) {
+    return avoidanceDelays < MAX_AVOIDANCE_DELAYS && failedWorkers.contains(workerId);
+  }
+
+  /** Lets its next attempt start on any worker. */
+  void stopAvoiding() {
+    avoidanceDelays = MAX_AVOIDANCE_DELAYS;
+  }
+
+  /** Tells whether it waits for another worker than those on which it failed. */
+  boolean avoidsSome() {
+    return avoidanceDelays < MAX_AVOIDANCE_DELAYS && !failedWorkers.isEmpty();
+  }
+
   void countFailure(int index) {
     failures.merge(index, 1, Integer::sum);
   }
--- a/domain/src/main/java/org/hickorymoor/domain/policy/Reservations.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Reservations.java
@@ -117,7 +117,7 @@
   private List<WorkerLoad> byRoom(QueuedJob job) {
     return cell.ledger.workers().stream()
         .filter(worker -> worker.open() && worker.reservation == null && !worker.health.suspect)
-        .filter(worker -> !job.failedWorkers.contains(worker.workerId))
+        .filter(worker -> !job.avoids(worker.workerId))
         .filter(worker -> countDrained(worker, job.demand()) > 0)
         .sorted(Comparator.comparingDouble(Reservations::drainingShare))
         .toList();
--- /dev/null
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/CapacityLearnerTest.java
@@ -0,0 +1,79 @@
+package org.hickorymoor.domain.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.hickorymoor.domain.job.TaskId;
+import org.junit.jupiter.api.Test;
+
+final class CapacityLearnerTest {
+
+  private static final UsageReport WITHIN = new UsageReport(4_000, 8_192, 4, 1_000);
+  private static final UsageReport BEYOND = new UsageReport(4_000, 40_000, 4, 1_000);
+  private static final double LATE = 4;
+
+  private final CapacityLearner learner = new CapacityLearner(1);
+
+  @Test
+  void fallsAtOnceWhenMoreIsInUseThanDeclared() {
+    report(BEYOND, 1_000);
+
+    assertThat(learner.learned(Examples.WORKER).slots()).isEqualTo(4);
+  }
+
+  @Test
+  void fallsWhenTasksFinishLate() {
+    for (int i = 0; i < 3; i++) {
+      learner.completed(LATE, true, 1_000);
+    }
+
+    assertThat(learner.learned(Examples.WORKER).slots()).isLessThan(8);
+  }
+
+  @Test
+  void risesAgainAfterSomeTimeButNeverAboveTheDeclaredCapacity() {
+    report(BEYOND, 1_000);
+    report(WITHIN, 2_000);
+    assertThat(learner.learned(Examples.WORKER).slots()).isEqualTo(4);
+    for (int i = 0; i < 100; i++) {
+      report(WITHIN, 20_000 + i);
+    }
+
+    assertThat(learner.learned(Examples.WORKER)).isEqualTo(Examples.WORKER);
+  }
+
+  @Test
+  void doesNotRiseWhileNothingWaits() {
+    CapacityLearner idle = new CapacityLearner(0.5);
+    idle.reported(WITHIN, Examples.WORKER, List.of(), false, 1_000);
+
+    assertThat(idle.learned(Examples.WORKER).slots()).isEqualTo(4);
+  }
+
+  @Test
+  void countsWhatStartedAfterTheTimeOfTheReport() {
+    WorkerLoad worker = new WorkerLoad("w1", 1);
+    QueuedJob job = new QueuedJob("j1", Examples.batch("mill", 2));
+    TaskId before = new TaskId("j1", 0, 1);
+    TaskId after = new TaskId("j1", 1, 1);
+    List<RunningAttempt> attempts =
+        List.of(
+            new RunningAttempt(before, job, worker, Examples.SMALL, 100),
+            new RunningAttempt(after, job, worker, Examples.SMALL, 900));
+    learner.reported(new UsageReport(4_000, 8_192, 4, 500), Examples.WORKER, attempts, true, 1_000);
+
+    assertThat(learner.observed().cpuMillis()).isEqualTo(5_000);
+    assertThat(learner.observed().memoryMb()).isEqualTo(9_216);
+  }
+
+  @Test
+  void dropsReportsOlderThanTheLast() {
+    report(WITHIN, 5_000);
+
+    assertThat(learner.reported(BEYOND, Examples.WORKER, List.of(), true, 4_000)).isFalse();
+  }
+
+  private void report(UsageReport report, long nowMs) {
+    learner.reported(report, Examples.WORKER, List.of(), true, nowMs);
+  }
+}
--- /dev/null
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/FairQueueTest.java
@@ -0,0 +1,81 @@
+package org.hickorymoor.domain.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.domain.job.JobKind;
+import org.hickorymoor.domain.job.JobSpec;
+import org.junit.jupiter.api.Test;
+
+final class FairQueueTest {
+
+  private final FairQueue queue = newQueue(PolicySettings.DEFAULT);
+
+  @Test
+  void teamWithTheSmallerShareGoesFirst() {
+    final QueuedJob rival = add("rival", Examples.SMALL);
+    QueuedJob mill = add("mill", Examples.SMALL);
+    queue.charge("rival", Examples.SMALL);
+
+    assertThat(queue.next(JobClass.BATCH)).isEqualTo(mill);
+    queue.charge("mill", Examples.WHOLE_WORKER);
+    assertThat(queue.next(JobClass.BATCH)).isEqualTo(rival);
+  }
+
+  @Test
+  void weightCountsAgainstUse() {
+    Map<String, TeamQuota> quotas = Map.of("mill", new TeamQuota(4, null));
+    FairQueue weighted = newQueue(PolicySettings.DEFAULT.withQuotas(quotas));
+    addTo(weighted, "rival", Examples.SMALL);
+    QueuedJob mill = addTo(weighted, "mill", Examples.SMALL);
+    weighted.charge("rival", Examples.SMALL);
+    weighted.charge("mill", Examples.SMALL.plus(Examples.SMALL));
+
+    assertThat(weighted.next(JobClass.BATCH)).isEqualTo(mill);
+  }
+
+  @Test
+  void blockedNeedsAreSkippedTogether() {
+    QueuedJob large = add("mill", Examples.WHOLE_WORKER);
+    add("rival", Examples.WHOLE_WORKER);
+    QueuedJob small = add("mill", Examples.SMALL);
+    queue.block(large);
+    assertThat(queue.next(JobClass.BATCH)).isEqualTo(small);
+
+    queue.remove(small);
+    assertThat(queue.next(JobClass.BATCH)).isNull();
+    queue.unblock(job -> true);
+    assertThat(queue.next(JobClass.BATCH)).isEqualTo(large);
+  }
+
+  @Test
+  void removalOfTheBlockingJobOpensItsLane() {
+    QueuedJob first = add("mill", Examples.SMALL);
+    QueuedJob second = add("mill", Examples.SMALL);
+    queue.block(first);
+    queue.remove(first);
+
+    assertThat(queue.next(JobClass.BATCH)).isEqualTo(second);
+    assertThat(queue.waitingTasks("mill")).isEqualTo(1);
+  }
+
+  private QueuedJob add(String team, Resources demand) {
+    return addTo(queue, team, demand);
+  }
+
+  private static FairQueue newQueue(PolicySettings settings) {
+    FairQueue queue = new FairQueue(settings);
+    queue.setTotal(Amounts.times(Examples.WORKER, 4));
+    return queue;
+  }
+
+  private static QueuedJob addTo(FairQueue queue, String team, Resources demand) {
+    JobSpec spec = Examples.job(team, JobKind.BATCH, JobClass.BATCH, 1, demand);
+    QueuedJob job = new QueuedJob(team, spec);
+    job.addWaiting(Examples.firstAttempts(team, spec));
+    queue.add(job);
+    return job;
+  }
+}
--- /dev/null
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/PlacementTest.java
@@ -0,0 +1,65 @@
+package org.hickorymoor.domain.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.hickorymoor.domain.job.JobSpec;
+import org.junit.jupiter.api.Test;
+
+final class PlacementTest {
+
+  private static final PolicySettings PACKING = PolicySettings.DEFAULT.withWeights(0, 1, 0);
+  private static final PolicySettings WAITING = PolicySettings.DEFAULT.withWeights(1, 0, 0);
+  private static final double LATE = 4;
+
+  private final Cell cell = new Cell(PACKING.withInitialCapacityShare(1));
+  private final Placement placement = new Placement(cell);
+
+  @Test
+  void packingFillsTheFullerWorker() {
+    cell.ledger.seen(Examples.worker("w1"));
+    cell.ledger.seen(Examples.worker("w2"));
+    cell.start(Examples.firstAttempts("j1", Examples.batch("mill", 1)).get(0), job("j1"), "w2", 0);
+
+    assertThat(chosen(job("j2"))).isEqualTo("w2");
+  }
+
+  @Test
+  void waitingAvoidsTheSlowerWorker() {
+    cell.settings = WAITING;
+    WorkerLoad slow = cell.ledger.seen(Examples.worker("w1"));
+    cell.ledger.seen(Examples.worker("w2"));
+    slow.learner.completed(LATE, true, 0);
+
+    assertThat(chosen(job("j1"))).isEqualTo("w2");
+  }
+
+  @Test
+  void workersWhereTheJobFailedAreAvoided() {
+    cell.ledger.seen(Examples.worker("w1"));
+    cell.ledger.seen(Examples.worker("w2"));
+    QueuedJob job = job("j1");
+    job.failedWorkers.add("w1");
+
+    assertThat(chosen(job)).isEqualTo("w2");
+  }
+
+  @Test
+  void heldWorkersAreLeftToTheirJob() {
+    WorkerLoad held = cell.ledger.seen(Examples.worker("w1"));
+    held.reservation = new Reservation(job("j1"), List.of(held), 1_000);
+
+    assertThat(placement.choose(job("j2"), 0)).isNull();
+  }
+
+  private String chosen(QueuedJob job) {
+    return placement.choose(job, 0).workerId;
+  }
+
+  private static QueuedJob job(String jobId) {
+    JobSpec spec = Examples.batch("mill", 1);
+    QueuedJob job = new QueuedJob(jobId, spec);
+    job.addWaiting(Examples.firstAttempts(jobId, spec));
+    return job;
+  }
+}
