Test the command-line tool against a small HTTP server

The tests found that a lone - for standard input was taken for an unknown option; the parser now lets it pass as an argument. Retries are tested with a scripted transport and a clock that only pauses move.

--- a/cli/src/main/java/org/hickorymoor/cli/Cli.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Cli.java
@@ -60,7 +60,7 @@
       throws UsageException, ClientException, ServerErrorException, TransportException {
     GlobalOptions options = new GlobalOptions();
     CommandLine line = new CommandLine();
-    CmdLineParser parser = new CmdLineParser(line);
+    CmdLineParser parser = new ArgumentParser(line);
     new ClassParser().parse(options, parser);
     parse(parser, List.of(arguments), "hickorymoor help");
     if (line.words.isEmpty()) {
@@ -77,7 +77,7 @@
       throws UsageException, ClientException, ServerErrorException, TransportException {
     CommandInfo info = find(words);
     Command command = info.create().get();
-    CmdLineParser parser = new CmdLineParser(command);
+    CmdLineParser parser = new ArgumentParser(command);
     new ClassParser().parse(options, parser);
     List<String> rest = words.subList(info.words().size(), words.size());
     parse(parser, rest, "hickorymoor help " + info.name());
--- a/cli/src/main/java/org/hickorymoor/cli/Help.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Help.java
@@ -25,7 +25,7 @@
     printCommands(Commands.ALL);
     out.println();
     out.println("Options, before the command or after it:");
-    printOptions(new CmdLineParser(new GlobalOptions()));
+    printOptions(new ArgumentParser(new GlobalOptions()));
     out.println();
     out.println("Exit codes:");
     for (ExitCode code : ExitCode.values()) {
@@ -45,7 +45,7 @@
 
   /** Prints one command. */
   void printCommand(CommandInfo info) {
-    CmdLineParser parser = new CmdLineParser(info.create().get());
+    CmdLineParser parser = new ArgumentParser(info.create().get());
     out.println(info.summary());
     out.println();
     out.println("Usage: hickorymoor " + info.name() + argumentNames(parser));
--- /dev/null
+++ b/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
@@ -0,0 +1,124 @@
+package org.hickorymoor.cli.client;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.hickorymoor.domain.job.JobAnswer;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.ReasonType;
+import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.protocol.caller.CallerJson;
+import org.hickorymoor.protocol.caller.ErrorBody;
+import org.hickorymoor.protocol.caller.ErrorTypes;
+import org.hickorymoor.protocol.caller.JobRecordCodec;
+import org.junit.jupiter.api.Test;
+
+final class JobClientTest {
+
+  private static final RequestKey REQUEST = new RequestKey("t", "k");
+  private static final String UNKNOWN_JOB =
+      CallerJson.toJson(ErrorBody.of(ErrorTypes.UNKNOWN_JOB, "no such job"));
+
+  private final FakeTransport transport = new FakeTransport();
+  private final FakePacer pacer = new FakePacer();
+  private final JobClient jobs =
+      new JobClient(
+          new RetryingClient(
+              transport,
+              ServerAddress.parseList("a:1,b:1"),
+              2_000,
+              pacer,
+              new SplittableRandom(32)),
+          pacer);
+
+  private static String answer(JobState state) {
+    return CallerJson.toJson(new JobAnswer(REQUEST, "j", state, Reason.NONE, 0, List.of()));
+  }
+
+  private static String refusal(ReasonType reason, long retryAfterMs) {
+    return CallerJson.toJson(JobAnswer.notRun(REQUEST, reason, "", retryAfterMs));
+  }
+
+  private static JobSpec spec(boolean repeatable) throws Exception {
+    return JobRecordCodec.parse(
+        "{\"schemaVersion\":1,\"team\":\"t\",\"key\":\"k\",\"name\":\"n\",\"kind\":\"batch\","
+            + "\"cpuMillis\":1,\"memoryMb\":1,\"repeatable\":"
+            + repeatable
+            + "}");
+  }
+
+  private JobState submit(boolean repeatable, long waitMs) throws Exception {
+    return jobs.submit(spec(repeatable), "{}", waitMs).answer().state();
+  }
+
+  @Test
+  void asksUntilTheJobEnds() throws Exception {
+    transport
+        .thenReply(202, answer(JobState.ACCEPTED))
+        .thenReply(200, answer(JobState.RUNNING))
+        .thenReply(404, UNKNOWN_JOB)
+        .thenReply(200, answer(JobState.DONE));
+
+    assertThat(submit(true, 10_000)).isEqualTo(JobState.DONE);
+  }
+
+  @Test
+  void returnsTheLastAnswerWhenTheWaitIsOver() throws Exception {
+    transport.thenReply(202, answer(JobState.RUNNING));
+
+    assertThat(submit(true, 3_000)).isEqualTo(JobState.RUNNING);
+  }
+
+  @Test
+  void submitsAgainAfterTheTimeThatRefusalNames() throws Exception {
+    transport
+        .thenReply(429, refusal(ReasonType.OVERLOADED, 700))
+        .thenReply(202, answer(JobState.ACCEPTED));
+
+    assertThat(submit(false, 0)).isEqualTo(JobState.ACCEPTED);
+    assertThat(pacer.pausesMs.get(0)).isAtLeast(700);
+  }
+
+  @Test
+  void takesRefusalWithoutTimeForFinal() throws Exception {
+    transport.thenReply(503, refusal(ReasonType.NEVER_FITS, 0));
+
+    assertThat(submit(true, 0)).isEqualTo(JobState.NOT_RUN);
+    assertThat(transport.calls).hasSize(1);
+  }
+
+  @Test
+  void postsRepeatableJobAgainAfterBrokenConnection() throws Exception {
+    transport.thenBreak().thenReply(200, answer(JobState.DONE));
+
+    assertThat(submit(true, 0)).isEqualTo(JobState.DONE);
+    assertThat(transport.calls.get(1)).startsWith("b POST");
+  }
+
+  @Test
+  void asksAboutUnrepeatableJobAfterBrokenConnection() throws Exception {
+    transport.thenBreak().thenReply(200, answer(JobState.RUNNING));
+
+    assertThat(submit(false, 0)).isEqualTo(JobState.RUNNING);
+    assertThat(transport.calls.get(1)).startsWith("b GET");
+  }
+
+  @Test
+  void leavesUnrepeatableJobInDoubtIfNoServerKnowsIt() {
+    transport.thenReply(502, "bad gateway").thenReply(404, UNKNOWN_JOB);
+
+    assertThrows(OutcomeUnknownException.class, () -> submit(false, 0));
+    assertThat(transport.calls.stream().filter(call -> call.contains("POST"))).hasSize(1);
+  }
+
+  @Test
+  void doesNotTrustRefusalThatFollowsBrokenConnection() {
+    transport.thenBreak().thenReply(503, refusal(ReasonType.NO_COORDINATOR, 0));
+
+    assertThrows(OutcomeUnknownException.class, () -> submit(true, 0));
+  }
+}
