--- a/cli/src/main/java/org/hickorymoor/cli/Commands.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Commands.java
@@ -11,7 +11,7 @@
           new CommandInfo(
               "submit",
               "Submits a job, and waits for its end if asked to.",
-              "hickorymoor submit examples/kaduna-order-plan.json --wait 30s",
+              "hickorymoor submit examples/kaduna/order-plan.json --wait 30s",
               SubmitCommand::new),
           new CommandInfo(
               "status",
--- a/cli/src/main/java/org/hickorymoor/cli/Help.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Help.java
@@ -73,7 +73,8 @@
     table.lines().stream().skip(1).forEach(out::println);
   }
 
-  private static String name(OptionHandler<?> handler) {
+  /** Names an option with the value that it takes. */
+  static String name(OptionHandler<?> handler) {
     OptionDef option = handler.option;
     String name = option instanceof NamedOptionDef named ? named.name() : option.toString();
     String value = metaVar(handler);
