--- a/cli/src/main/java/org/hickorymoor/cli/Commands.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Commands.java
@@ -46,7 +46,7 @@
           new CommandInfo(
               "cell",
               "Prints the state of the cell as one entry host sees it.",
-              "hickorymoor cell --server 10.0.0.1:8080",
+              "hickorymoor cell --server 10.0.0.1:7480",
               CellCommand::new),
           new CommandInfo(
               "drain",
--- a/cli/src/main/java/org/hickorymoor/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/hickorymoor/cli/ExplainCommand.java
@@ -20,7 +20,7 @@
   @Override
   public ExitCode run(Session session) throws ClientException, ServerErrorException {
     String path = "/v1/jobs/" + request + "/explain";
-    session.report(Call.get(path, 0), answer -> print(session, answer));
+    session.report(Call.aboutJob("GET", path, 0), answer -> print(session, answer));
     return ExitCode.OK;
   }
 
--- a/cli/src/main/java/org/hickorymoor/cli/GlobalOptions.java
+++ b/cli/src/main/java/org/hickorymoor/cli/GlobalOptions.java
@@ -13,7 +13,7 @@
   static final String SERVER_VARIABLE = "HICKORYMOOR_SERVER";
   static final String ACTOR_VARIABLE = "HICKORYMOOR_ACTOR";
 
-  private static final String DEFAULT_SERVER = "127.0.0.1:8080";
+  private static final String DEFAULT_SERVER = "127.0.0.1:7480";
   private static final String DEFAULT_ACTOR = "anonymous";
 
   @Option(
@@ -21,7 +21,7 @@
       metaVar = "HOST:PORT[,HOST:PORT...]",
       usage =
           "servers to use, in this order (or environment variable HICKORYMOOR_SERVER; default"
-              + " 127.0.0.1:8080)")
+              + " 127.0.0.1:7480)")
   private @Nullable String server;
 
   @Option(
--- a/cli/src/main/java/org/hickorymoor/cli/Help.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Help.java
@@ -32,7 +32,7 @@
       out.println("  " + code.code() + "  " + code.meaning());
     }
     out.println();
-    out.println("Example: hickorymoor --server 10.0.0.1:8080,10.0.0.2:8080 cell");
+    out.println("Example: hickorymoor --server 10.0.0.1:7480,10.0.0.2:7480 cell");
     out.println("\"hickorymoor help COMMAND\" tells more of one command.");
   }
 
--- a/cli/src/main/java/org/hickorymoor/cli/HickorymoorMain.java
+++ b/cli/src/main/java/org/hickorymoor/cli/HickorymoorMain.java
@@ -4,7 +4,7 @@
  * Starts the command-line tool.
  *
  * <pre>{@code
- * hickorymoor --server 10.0.0.1:8080 submit order.json --wait 30s
+ * hickorymoor --server 10.0.0.1:7480 submit order.json --wait 30s
  * }</pre>
  */
 public final class HickorymoorMain {
--- a/cli/src/main/java/org/hickorymoor/cli/client/Call.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/Call.java
@@ -22,6 +22,7 @@
     Function<Reply, Assessment> assess) {
 
   private static final String GET = "GET";
+  private static final int NOT_FOUND = 404;
   private static final int BAD_GATEWAY = 502;
 
   /**
@@ -46,11 +47,29 @@
     return new Call(method, path, null, 0, true, Call::assessStatus);
   }
 
+  /**
+   * Makes a call about one job, whose repetition changes nothing more.
+   *
+   * <p>Each failure domain knows its own jobs, so that another server may know what one does not.
+   *
+   * @param method GET or DELETE
+   * @param path path and query
+   * @param waitMs time for which the server may hold its answer back
+   * @return the call
+   */
+  public static Call aboutJob(String method, String path, long waitMs) {
+    return new Call(method, path, null, waitMs, true, Call::assessJobStatus);
+  }
+
   /** Tells whether the call can have no effect at all. */
   boolean isReadOnly() {
     return method.equals(GET);
   }
 
+  private static Assessment assessJobStatus(Reply reply) {
+    return reply.status() == NOT_FOUND ? new Assessment(Verdict.ELSEWHERE, 0) : assessStatus(reply);
+  }
+
   private static Assessment assessStatus(Reply reply) {
     return reply.status() >= BAD_GATEWAY
         ? new Assessment(Verdict.UNKNOWN, reply.retryAfterMs())
--- a/cli/src/main/java/org/hickorymoor/cli/client/JobClient.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/JobClient.java
@@ -97,7 +97,7 @@
    * @throws ServerErrorException if a server answered by an error, such as for an unknown job
    */
   public JobReply cancel(RequestKey request) throws ClientException, ServerErrorException {
-    return JobReply.of(client.send(Call.idempotent("DELETE", path(request))));
+    return JobReply.of(client.send(Call.aboutJob("DELETE", path(request), 0)));
   }
 
   private JobReply findSubmitted(RequestKey request, OutcomeUnknownException failure)
@@ -129,7 +129,7 @@
   }
 
   private static Call statusCall(RequestKey request, long waitMs) {
-    return Call.get(path(request) + "?waitMs=" + waitMs, waitMs);
+    return Call.aboutJob("GET", path(request) + "?waitMs=" + waitMs, waitMs);
   }
 
   private static String path(RequestKey request) {
--- a/cli/src/main/java/org/hickorymoor/cli/client/RetryingClient.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/RetryingClient.java
@@ -67,7 +67,7 @@
       }
       maybeSent |= attempt.assessment.verdict() == Verdict.UNKNOWN;
       long pauseMs = pauseMs(attempt, attempts);
-      if (!mayRepeat(call, attempt) || pacer.nowMs() + pauseMs > deadlineMs) {
+      if (!mayRepeat(call, attempt, attempts) || pacer.nowMs() + pauseMs > deadlineMs) {
         return giveUp(call, attempt, maybeSent);
       }
       pacer.sleep(pauseMs);
@@ -79,7 +79,7 @@
     try {
       Reply reply = transport.send(server, call);
       Assessment assessment = call.assess().apply(reply);
-      if (assessment.verdict() == Verdict.UNKNOWN) {
+      if (assessment.verdict() == Verdict.UNKNOWN || assessment.verdict() == Verdict.ELSEWHERE) {
         useNextServer();
       }
       return new Attempt(assessment, reply, server + ": status " + reply.status());
@@ -94,12 +94,14 @@
     current = (current + 1) % servers.size();
   }
 
-  private static boolean mayRepeat(Call call, Attempt attempt) {
-    if (attempt.assessment.verdict() == Verdict.UNKNOWN) {
-      return call.isRepeatable();
-    }
-    // A refusal that names no time would be the same again.
-    return attempt.reply == null || attempt.assessment.retryAfterMs() > 0;
+  private boolean mayRepeat(Call call, Attempt attempt, int attempts) {
+    return switch (attempt.assessment.verdict()) {
+      case UNKNOWN -> call.isRepeatable();
+      case ELSEWHERE -> attempts < servers.size();
+      // A refusal that names no time would be the same again.
+      case NO_EFFECT -> attempt.reply == null || attempt.assessment.retryAfterMs() > 0;
+      case FINAL -> false;
+    };
   }
 
   private long pauseMs(Attempt attempt, int attempts) {
--- a/cli/src/main/java/org/hickorymoor/cli/client/ServerAddress.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/ServerAddress.java
@@ -24,7 +24,7 @@
   }
 
   /**
-   * Reads a list such as {@code 10.0.0.1:8080,10.0.0.2:8080}.
+   * Reads a list such as {@code 10.0.0.1:7480,10.0.0.2:7480}.
    *
    * @param text addresses, separated by commas
    * @return at least one address
--- a/cli/src/main/java/org/hickorymoor/cli/client/Verdict.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/Verdict.java
@@ -8,6 +8,9 @@
   /** The call certainly had no effect, and may have one later. */
   NO_EFFECT,
 
+  /** This server knows nothing of what the call is about; one of another domain may. */
+  ELSEWHERE,
+
   /** The call may have had an effect. */
   UNKNOWN
 }
--- a/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
+++ b/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
@@ -107,6 +107,23 @@
     assertThat(transport.calls.get(1)).startsWith("b GET");
   }
 
+  @Test
+  void asksTheNextServerAboutJobThatOneDoesNotKnow() throws Exception {
+    transport.thenReply(404, UNKNOWN_JOB).thenReply(200, answer(JobState.DONE));
+
+    assertThat(jobs.status(REQUEST, 0).answer().state()).isEqualTo(JobState.DONE);
+  }
+
+  @Test
+  void reportsJobThatNoServerKnows() {
+    transport.thenReply(404, UNKNOWN_JOB);
+
+    ServerErrorException e =
+        assertThrows(ServerErrorException.class, () -> jobs.status(REQUEST, 0));
+    assertThat(e.error().type()).isEqualTo(ErrorTypes.UNKNOWN_JOB);
+    assertThat(transport.calls).hasSize(2);
+  }
+
   @Test
   void leavesUnrepeatableJobInDoubtIfNoServerKnowsIt() {
     transport.thenReply(502, "bad gateway").thenReply(404, UNKNOWN_JOB);
