Agree on a configuration by the offset order of the log

Cause: operators race, replies get lost and the log has no compare-and-set. Ruled out: a lock or a leader for publishing (it would need the log as well), and remembering every id ever seen (hosts that start from a retained prefix would differ).

--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/config/ConfigCheck.java
@@ -0,0 +1,49 @@
+package org.hickorymoor.domain.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Checks what concerns more than one field of a configuration.
+ *
+ * <p>Pure: every host comes to the same result, whatever its time, version or state.
+ */
+public final class ConfigCheck {
+
+  private ConfigCheck() {}
+
+  /**
+   * Finds every mistake.
+   *
+   * @param config the configuration
+   * @return the mistakes; empty if it is valid
+   */
+  public static List<ConfigProblem> problems(ClusterConfig config) {
+    List<ConfigProblem> problems = new ArrayList<>();
+    if (config.weights().sum() <= 0) {
+      problems.add(new ConfigProblem("weights", "a weight above 0", "none"));
+    }
+    checkHome(config, "defaultTeam", config.defaultTeam(), problems);
+    for (Map.Entry<String, TeamConfig> team : new TreeMap<>(config.teams()).entrySet()) {
+      checkHome(config, "teams." + team.getKey(), team.getValue(), problems);
+    }
+    if (config.dedupeWindowMs() > config.logRetentionMs()) {
+      problems.add(
+          new ConfigProblem(
+              "dedupeWindowMs",
+              "at most logRetentionMs, " + config.logRetentionMs(),
+              Long.toString(config.dedupeWindowMs())));
+    }
+    return List.copyOf(problems);
+  }
+
+  private static void checkHome(
+      ClusterConfig config, String path, TeamConfig team, List<ConfigProblem> problems) {
+    String home = team.homeDomain();
+    if (home != null && !config.domains().containsKey(home)) {
+      problems.add(new ConfigProblem(path + ".homeDomain", "a name listed in domains", home));
+    }
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/config/ConfigRecordCodec.java
@@ -0,0 +1,211 @@
+package org.hickorymoor.protocol.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorymoor.domain.config.AcceptedPublication;
+import org.hickorymoor.domain.config.ConfigBody;
+import org.hickorymoor.domain.config.ConfigProblem;
+import org.hickorymoor.domain.config.ConfigRecord;
+import org.hickorymoor.domain.config.ConfigRecord.Malformed;
+import org.hickorymoor.domain.config.ConfigRecord.Publication;
+import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
+import org.hickorymoor.protocol.json.InvalidRecordException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes and reads the records of the configuration stream.
+ *
+ * <p>Reading never fails: what can't be read becomes a {@link Malformed} record or an {@link
+ * ConfigBody.Unreadable} body, since every host has to come to the same result. All methods are
+ * pure.
+ */
+public final class ConfigRecordCodec {
+
+  private static final String KIND = "kind";
+  private static final String PUBLICATION = "publication";
+  private static final String SNAPSHOT = "snapshot";
+  private static final String ID = "id";
+  private static final String EXPECTED_VERSION = "expectedVersion";
+  private static final String WHO = "who";
+  private static final String AT_MS = "atMs";
+  private static final String BODY = "body";
+  private static final String AS_OF_OFFSET = "asOfOffset";
+  private static final String VERSION = "version";
+  private static final String VERSION_OFFSET = "versionOffset";
+  private static final String HISTORY = "history";
+  private static final String OFFSET = "offset";
+
+  private ConfigRecordCodec() {}
+
+  /**
+   * Writes a publication.
+   *
+   * @param id unique per publish
+   * @param expectedVersion version that it replaces
+   * @param who operator
+   * @param atMs wall-clock time
+   * @param bodyJson a configuration that {@link ConfigCodec#parse} accepts, of any schema version
+   * @return the record
+   */
+  public static String publication(
+      String id, long expectedVersion, String who, long atMs, String bodyJson) {
+    JsonObject object = new JsonObject();
+    object.addProperty(KIND, PUBLICATION);
+    object.addProperty(ID, id);
+    object.addProperty(EXPECTED_VERSION, expectedVersion);
+    object.addProperty(WHO, who);
+    object.addProperty(AT_MS, atMs);
+    object.add(BODY, JsonParser.parseString(bodyJson));
+    return object.toString();
+  }
+
+  /**
+   * Writes a snapshot.
+   *
+   * @param snapshot the snapshot, with a valid body
+   * @return the record
+   */
+  public static String snapshot(Snapshot snapshot) {
+    if (!(snapshot.body() instanceof ConfigBody.Valid body)) {
+      throw new IllegalArgumentException("expected a snapshot of a valid configuration");
+    }
+    JsonObject object = new JsonObject();
+    object.addProperty(KIND, SNAPSHOT);
+    object.addProperty(AS_OF_OFFSET, snapshot.asOfOffset());
+    object.addProperty(VERSION, snapshot.version());
+    object.addProperty(VERSION_OFFSET, snapshot.versionOffset());
+    object.addProperty(AT_MS, snapshot.atMs());
+    object.add(HISTORY, history(snapshot.history()));
+    object.add(BODY, ConfigWriter.write(body.config()));
+    return object.toString();
+  }
+
+  /**
+   * Reads a record.
+   *
+   * @param data the record
+   * @return the record, malformed if it is neither a publication nor a snapshot
+   */
+  public static ConfigRecord decode(String data) {
+    try {
+      JsonObject object = JsonParser.parseString(data).getAsJsonObject();
+      String kind = text(object, KIND);
+      return switch (kind) {
+        case PUBLICATION -> readPublication(object);
+        case SNAPSHOT -> readSnapshot(object);
+        default -> new Malformed("kind: expected publication or snapshot, got " + kind);
+      };
+    } catch (JsonParseException
+        | IllegalStateException
+        | IllegalArgumentException
+        | ArithmeticException
+        | UnsupportedOperationException e) {
+      return new Malformed(String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static Publication readPublication(JsonObject object) {
+    return new Publication(
+        text(object, ID),
+        number(object, EXPECTED_VERSION),
+        text(object, WHO),
+        number(object, AT_MS),
+        body(object));
+  }
+
+  private static Snapshot readSnapshot(JsonObject object) {
+    List<AcceptedPublication> history = new ArrayList<>();
+    for (JsonElement element : member(object, HISTORY).getAsJsonArray()) {
+      JsonObject one = element.getAsJsonObject();
+      history.add(
+          new AcceptedPublication(
+              number(one, VERSION),
+              number(one, OFFSET),
+              text(one, ID),
+              text(one, WHO),
+              number(one, AT_MS)));
+    }
+    return new Snapshot(
+        number(object, AS_OF_OFFSET),
+        number(object, VERSION),
+        number(object, VERSION_OFFSET),
+        history,
+        number(object, AT_MS),
+        body(object));
+  }
+
+  private static ConfigBody body(JsonObject object) {
+    JsonElement body = member(object, BODY);
+    String newer = newerSchemaVersion(body);
+    if (newer != null) {
+      return new ConfigBody.Unreadable(newer);
+    }
+    try {
+      return new ConfigBody.Valid(ConfigCodec.parse(body.toString()));
+    } catch (InvalidRecordException e) {
+      List<ConfigProblem> problems =
+          e.problems().stream()
+              .map(one -> new ConfigProblem(one.path(), one.expected(), one.got()))
+              .toList();
+      return new ConfigBody.Invalid(problems);
+    }
+  }
+
+  /** Returns the schema version if it is a whole number above all that this release knows. */
+  private static @Nullable String newerSchemaVersion(JsonElement body) {
+    if (body instanceof JsonObject object
+        && object.get(ConfigFields.SCHEMA_VERSION) instanceof JsonPrimitive version
+        && version.isNumber()) {
+      BigDecimal number = version.getAsBigDecimal();
+      boolean whole = number.stripTrailingZeros().scale() <= 0;
+      boolean newer = number.compareTo(BigDecimal.valueOf(ConfigCodec.NESTED_VERSION)) > 0;
+      return whole && newer ? version.getAsString() : null;
+    }
+    return null;
+  }
+
+  private static JsonArray history(List<AcceptedPublication> history) {
+    JsonArray array = new JsonArray();
+    for (AcceptedPublication one : history) {
+      JsonObject object = new JsonObject();
+      object.addProperty(VERSION, one.version());
+      object.addProperty(OFFSET, one.offset());
+      object.addProperty(ID, one.id());
+      object.addProperty(WHO, one.who());
+      object.addProperty(AT_MS, one.atMs());
+      array.add(object);
+    }
+    return array;
+  }
+
+  private static String text(JsonObject object, String name) {
+    JsonElement element = member(object, name);
+    if (element instanceof JsonPrimitive text && text.isString()) {
+      return text.getAsString();
+    }
+    throw new IllegalArgumentException(name + ": expected a string, got " + element);
+  }
+
+  private static long number(JsonObject object, String name) {
+    JsonElement element = member(object, name);
+    if (element instanceof JsonPrimitive number && number.isNumber()) {
+      return number.getAsBigDecimal().longValueExact();
+    }
+    throw new IllegalArgumentException(name + ": expected a whole number, got " + element);
+  }
+
+  private static JsonElement member(JsonObject object, String name) {
+    JsonElement element = object.get(name);
+    if (element == null) {
+      throw new IllegalArgumentException(name + ": expected a value, got no such field");
+    }
+    return element;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hickorymoor/protocol/config/FlatConfig.java
@@ -0,0 +1,155 @@
+package org.hickorymoor.protocol.config;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.config.ClassConfig;
+import org.hickorymoor.domain.config.ClusterConfig;
+import org.hickorymoor.domain.config.DomainConfig;
+import org.hickorymoor.domain.config.PolicyWeights;
+import org.hickorymoor.domain.config.TeamConfig;
+import org.hickorymoor.domain.config.WorkerLimit;
+import org.hickorymoor.domain.config.WorkersConfig;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.protocol.json.RecordReader;
+import org.hickorymoor.protocol.json.ValueReader;
+
+/**
+ * Reads configurations of schema version 1 and converts them.
+ *
+ * <ul>
+ *   <li>Weights are whole percentages and are divided by 100; those of the policy sum to 100.
+ *   <li>Teams and domains are lists of objects that carry their name.
+ *   <li>Quotas are fields of the team; one left out is no limit.
+ *   <li>{@code urgentStartTargetMs}, {@code workerSharePercent} and {@code drainedWorkers} are the
+ *       only settings of classes and workers; everything else has its default.
+ * </ul>
+ */
+final class FlatConfig {
+
+  private static final String WEIGHT_PERCENT = "weightPercent";
+  private static final String WAITING_PERCENT = "waitingPercent";
+  private static final String PACKING_PERCENT = "packingPercent";
+  private static final String CONTROL_PERCENT = "controlPercent";
+  private static final String URGENT_START_TARGET_MS = "urgentStartTargetMs";
+  private static final String WORKER_SHARE_PERCENT = "workerSharePercent";
+  private static final String DRAINED_WORKERS = "drainedWorkers";
+  private static final int MAX_TEAM_WEIGHT_PERCENT = 100_000;
+  private static final Resources NO_QUOTA =
+      new Resources(
+          ConfigFields.UNLIMITED,
+          ConfigFields.UNLIMITED,
+          ConfigFields.UNLIMITED,
+          ConfigFields.UNLIMITED,
+          ConfigFields.UNLIMITED);
+
+  private record Named<T>(String name, T value) {}
+
+  private FlatConfig() {}
+
+  static ClusterConfig read(RecordReader reader) {
+    return new ClusterConfig(
+        0,
+        map(reader, ConfigFields.TEAMS, ConfigFields.MAX_TEAMS, FlatConfig::team),
+        TeamConfig.DEFAULT,
+        classes(reader),
+        weights(reader),
+        map(reader, ConfigFields.DOMAINS, ConfigFields.MAX_DOMAINS, FlatConfig::domain),
+        workers(reader),
+        NestedConfig.window(
+            reader, ConfigFields.DEDUPE_WINDOW_MS, ClusterConfig.DEFAULT_DEDUPE_WINDOW_MS),
+        NestedConfig.window(
+            reader, ConfigFields.LOG_RETENTION_MS, ClusterConfig.DEFAULT_LOG_RETENTION_MS));
+  }
+
+  private static <T> Map<String, T> map(
+      RecordReader reader, String name, int maxSize, Function<RecordReader, Named<T>> item) {
+    List<Named<T>> list =
+        reader.optional(name, value -> value.asList(maxSize, one -> one.asObject(item)), List.of());
+    Map<String, T> map = new LinkedHashMap<>();
+    for (Named<T> one : list) {
+      if (map.put(one.name(), one.value()) != null) {
+        reader.reject(name, "each name once", one.name() + " twice");
+      }
+    }
+    return map;
+  }
+
+  private static Named<TeamConfig> team(RecordReader reader) {
+    int weightPercent =
+        reader.optional(
+            WEIGHT_PERCENT,
+            value -> value.asInt(1, MAX_TEAM_WEIGHT_PERCENT),
+            ConfigFields.WHOLE_PERCENT);
+    Resources quota =
+        new Resources(
+            NestedConfig.amount(reader, ConfigFields.SLOTS),
+            NestedConfig.amount(reader, ConfigFields.CONNECTIONS),
+            NestedConfig.amount(reader, ConfigFields.CPU_MILLIS),
+            NestedConfig.amount(reader, ConfigFields.MEMORY_MB),
+            NestedConfig.amount(reader, ConfigFields.ACCELERATORS));
+    TeamConfig team =
+        new TeamConfig(
+            share(weightPercent),
+            quota.equals(NO_QUOTA) ? null : quota,
+            reader.optional(ConfigFields.HOME_DOMAIN, ValueReader::asName));
+    return new Named<>(reader.required(ConfigFields.NAME).asName(), team);
+  }
+
+  private static Named<DomainConfig> domain(RecordReader reader) {
+    String name = reader.required(ConfigFields.NAME).asName();
+    return new Named<>(name, NestedConfig.domain(reader));
+  }
+
+  private static Map<JobClass, ClassConfig> classes(RecordReader reader) {
+    ClassConfig defaults = ClassConfig.defaultOf(JobClass.URGENT);
+    long startTargetMs =
+        reader.optional(
+            URGENT_START_TARGET_MS,
+            value -> value.asLong(1, ClassConfig.MAX_START_TARGET_MS),
+            defaults.startTargetMs());
+    return Map.of(
+        JobClass.URGENT, new ClassConfig(startTargetMs, defaults.maxQueuedTasksPerTeam()));
+  }
+
+  private static PolicyWeights weights(RecordReader reader) {
+    int waitingPercent = percent(reader, WAITING_PERCENT);
+    int packingPercent = percent(reader, PACKING_PERCENT);
+    int controlPercent = percent(reader, CONTROL_PERCENT);
+    int sumPercent = waitingPercent + packingPercent + controlPercent;
+    if (sumPercent != ConfigFields.WHOLE_PERCENT) {
+      reader.reject(
+          CONTROL_PERCENT,
+          "waitingPercent, packingPercent and controlPercent to sum to 100",
+          "a sum of " + sumPercent);
+    }
+    return new PolicyWeights(share(waitingPercent), share(packingPercent), share(controlPercent));
+  }
+
+  private static int percent(RecordReader reader, String name) {
+    return reader.required(name).asInt(0, ConfigFields.WHOLE_PERCENT);
+  }
+
+  private static double share(int percent) {
+    return percent / (double) ConfigFields.WHOLE_PERCENT;
+  }
+
+  private static WorkersConfig workers(RecordReader reader) {
+    WorkerLimit limit =
+        new WorkerLimit(
+            reader.optional(
+                WORKER_SHARE_PERCENT,
+                value -> value.asInt(0, ConfigFields.WHOLE_PERCENT),
+                WorkerLimit.DEFAULT.sharePercent()),
+            null);
+    Set<String> drained =
+        reader.optional(
+            DRAINED_WORKERS,
+            value -> Set.copyOf(value.asList(ConfigFields.MAX_WORKERS, ValueReader::asName)),
+            Set.of());
+    return new WorkersConfig(limit, Map.of(), drained);
+  }
+}
