--- a/cli/src/main/java/org/hickorymoor/cli/Help.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Help.java
@@ -25,14 +25,14 @@
     printCommands(Commands.ALL);
     out.println();
     out.println("Options, before the command or after it:");
-    printOptions(new CmdLineParser(new GlobalOptions()));
+    printOptions(new ArgumentParser(new GlobalOptions()));
     out.println();
     out.println("Exit codes:");
     for (ExitCode code : ExitCode.values()) {
       out.println("  " + code.code() + "  " + code.meaning());
     }
     out.println();
-    out.println("Example: hickorymoor --server 10.0.0.1:8080,10.0.0.2:8080 cell");
+    out.println("Example: hickorymoor --server 10.0.0.1:7480,10.0.0.2:7480 cell");
     out.println("\"hickorymoor help COMMAND\" tells more of one command.");
   }
 
@@ -45,7 +45,7 @@
 
   /** Prints one command. */
   void printCommand(CommandInfo info) {
-    CmdLineParser parser = new CmdLineParser(info.create().get());
+    CmdLineParser parser = new ArgumentParser(info.create().get());
     out.println(info.summary());
     out.println();
     out.println("Usage: hickorymoor " + info.name() + argumentNames(parser));
@@ -73,7 +73,8 @@
     table.lines().stream().skip(1).forEach(out::println);
   }
 
-  private static String name(OptionHandler<?> handler) {
+  /** Names an option with the value that it takes. */
+  static String name(OptionHandler<?> handler) {
     OptionDef option = handler.option;
     String name = option instanceof NamedOptionDef named ? named.name() : option.toString();
     String value = metaVar(handler);
