Keep claims, jobs and placements in the log

Cause: an accepted job died with its coordinator, and nothing kept a job that must not be repeated from running twice. Change: keys are claimed in a stream that all failure domains share, first in offset order wins; placements of such jobs are recorded before the start and are void once another term has taken over; a new coordinator restores what the log knows, and asks workers what became of open placements.

--- a/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
@@ -11,23 +11,27 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
 import org.hickorymoor.daemon.adapter.HttpHostListAdapter;
+import org.hickorymoor.daemon.adapter.HttpLogAdapter;
 import org.hickorymoor.daemon.adapter.HttpWorkerAdapter;
 import org.hickorymoor.daemon.adapter.PlatformHttp;
 import org.hickorymoor.daemon.coordinator.CellHandler;
 import org.hickorymoor.daemon.coordinator.Contenders;
 import org.hickorymoor.daemon.coordinator.Coordinator;
 import org.hickorymoor.daemon.coordinator.CoordinatorSettings;
-import org.hickorymoor.daemon.coordinator.VolatileJournal;
 import org.hickorymoor.daemon.entry.Directory;
 import org.hickorymoor.daemon.entry.JobService;
 import org.hickorymoor.daemon.entry.Router;
 import org.hickorymoor.daemon.http.HttpInterface;
 import org.hickorymoor.daemon.http.HttpInterfaces;
+import org.hickorymoor.daemon.journal.JournalSettings;
+import org.hickorymoor.daemon.journal.LogJournal;
 import org.hickorymoor.daemon.peer.PeerClient;
 import org.hickorymoor.daemon.peer.PeerServer;
 import org.hickorymoor.daemon.peer.PeerSettings;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.settings.DaemonSettings;
+import org.hickorymoor.daemon.stream.AppendBudget;
+import org.hickorymoor.daemon.stream.StreamContext;
 import org.hickorymoor.domain.lease.HoldSettings;
 import org.hickorymoor.domain.policy.FirstFitScheduler;
 
@@ -56,6 +60,7 @@
   private final ScheduledExecutorService executor;
   private final PlatformHttp platform;
   private final HostListPoller hosts;
+  private final LogJournal journal;
   private final Coordinator coordinator;
   private final PeerClient peerClient;
   private final PeerServer peerServer;
@@ -82,6 +87,20 @@
             settings.domain(),
             times.callTimeoutMs());
     LongSupplier clockMs = () -> System.nanoTime() / NS_PER_MS;
+    StreamContext streams =
+        new StreamContext(
+            new HttpLogAdapter(platform, settings.logAddress()), executor, clockMs, metrics);
+    AppendBudget budget =
+        new AppendBudget(settings.appendsPerSecond(), settings.appendsPerSecond(), clockMs);
+    this.journal =
+        new LogJournal(
+            settings.hostId(),
+            settings.domain(),
+            incarnation,
+            JournalSettings.DEFAULT,
+            streams,
+            budget,
+            System::currentTimeMillis);
     this.coordinator =
         new Coordinator(
             coordinatorSettings(),
@@ -89,7 +108,7 @@
             hosts::workers,
             new Alone(),
             () -> new FirstFitScheduler(random.split()),
-            new VolatileJournal(),
+            journal,
             new JobRecordText(),
             clockMs,
             random.split());
@@ -141,6 +160,7 @@
     hosts.start(executor, settings.times().hostListPollMs());
     peerClient.start();
     peerServer.start();
+    journal.start();
     coordinator.start();
     http.start();
     serving = true;
@@ -159,6 +179,7 @@
     http.stop();
     peerServer.stop();
     peerClient.stop();
+    journal.stop();
     platform.stop();
     executor.shutdownNow();
     logger.atInfo().log("daemon: Host %s has stopped.", settings.hostId());
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.daemon.coordinator;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +12,7 @@
 import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.ReasonType;
 import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.ledger.LedgerJob;
 import org.hickorymoor.domain.policy.Admission;
 import org.hickorymoor.domain.policy.Decision;
 import org.hickorymoor.domain.policy.WorkerProfile;
@@ -26,12 +28,15 @@
  */
 final class Cell {
 
+  private static final long RESTORE_WAIT_MS = 1_000;
+
   private final CellContext context;
   private final JobTable jobs = new JobTable();
   private final TaskRunner runner;
   private final Object lock = new Object();
   private final long startedMs;
   private boolean settled;
+  private boolean restored;
   private boolean closed;
 
   Cell(CellContext context, String termTag) {
@@ -180,7 +185,9 @@
       if (closed) {
         return;
       }
-      if (!settled && (allListed || nowMs > startedMs + context.settings().lapseMs())) {
+      boolean listed = allListed || nowMs > startedMs + context.settings().lapseMs();
+      boolean logHeard = restored || nowMs > startedMs + RESTORE_WAIT_MS;
+      if (!settled && listed && logHeard) {
         settled = true;
         jobs.all().forEach(runner::enqueue);
       }
@@ -189,6 +196,18 @@
     pump();
   }
 
+  /** Takes in the jobs that the log knows. */
+  void restore(Collection<LedgerJob> known) {
+    synchronized (lock) {
+      if (closed) {
+        return;
+      }
+      known.forEach(job -> runner.restore(job, settled));
+      restored = true;
+    }
+    pump();
+  }
+
   /** Ends the term. Waiting questions are failed, so that they go to the next coordinator. */
   void close() {
     List<CompletableFuture<JobAnswer>> waiters = new ArrayList<>();
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
@@ -32,6 +32,7 @@
   private static final int TAG_RADIX = 36;
   private static final long STOP_WAIT_MS = 5_000;
   private static final long POLL_MS = 20;
+  private static final long BEGIN_AGAIN_MS = 1_000;
 
   private final CoordinatorSettings settings;
   private final Supplier<List<HostEntry>> workerHosts;
@@ -48,6 +49,7 @@
   private final Object lock = new Object();
   private @Nullable Term term;
   private long quietSinceMs;
+  private long termBegunMs;
   private boolean stopping;
 
   /**
@@ -215,6 +217,9 @@
     } else {
       Cell cell = term.cell();
       added.forEach(agent -> want(agent, cell));
+      if (nowMs > termBegunMs + BEGIN_AGAIN_MS && !journal.inForce()) {
+        beginTerm(cell, nowMs);
+      }
     }
   }
 
@@ -231,7 +236,7 @@
 
   private void stepCandidate(Term candidate, long nowMs, boolean authority) {
     if (authority) {
-      takeOver(candidate);
+      takeOver(candidate, nowMs);
     } else if (contenders.coordinatorAlive()
         || nowMs > candidate.candidateMs() + 2 * settings.hold().leaseMs()) {
       endTerm("gave its candidacy up");
@@ -239,7 +244,7 @@
     }
   }
 
-  private void takeOver(Term candidate) {
+  private void takeOver(Term candidate, long nowMs) {
     CellContext context =
         new CellContext(
             settings,
@@ -249,8 +254,10 @@
             clockMs,
             authorityUntilMs::get,
             workers::agent);
-    Cell cell = new Cell(context, Integer.toString(random.nextInt(TAG_BOUND), TAG_RADIX));
+    String tag = Integer.toString(random.nextInt(TAG_BOUND), TAG_RADIX);
+    Cell cell = new Cell(context, tag);
     candidate.open(cell);
+    beginTerm(cell, nowMs);
     logger.atInfo().log(
         "coordinator: Host %s coordinates domain %s with %d of %d workers.",
         settings.hostId(), settings.domain(), workersHeld(), workers.size());
@@ -267,6 +274,14 @@
                     first.reply()));
   }
 
+  /** Begins the term in the log, again if an entry of an earlier term came late. */
+  private void beginTerm(Cell cell, long nowMs) {
+    termBegunMs = nowMs;
+    journal
+        .beginTerm(settings.incarnation() + "." + Long.toString(nowMs, TAG_RADIX))
+        .thenAcceptAsync(cell::restore, executor);
+  }
+
   private static void want(WorkerAgent agent, Cell cell) {
     agent.want(true, () -> cell.renewals(agent.workerId()));
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
@@ -1,9 +1,12 @@
 package org.hickorymoor.daemon.coordinator;
 
+import java.util.Collection;
 import java.util.concurrent.CompletableFuture;
 import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.TaskId;
+import org.hickorymoor.domain.ledger.LedgerJob;
 import org.hickorymoor.protocol.platform.EndedTask;
 
 /**
@@ -14,6 +17,21 @@
  */
 public interface JobJournal {
 
+  /**
+   * Begins a term: from its record on, placements of earlier terms are void.
+   *
+   * @param termId names the term, unique
+   * @return completes, after whatever outage, with every job that the log knows
+   */
+  CompletableFuture<Collection<LedgerJob>> beginTerm(String termId);
+
+  /**
+   * Tells whether the last term begun here is the one in force in the log, or still being begun.
+   *
+   * @return false if the term must be begun again
+   */
+  boolean inForce();
+
   /**
    * Claims the key of a job that must run at most once, for this failure domain.
    *
@@ -37,20 +55,24 @@
    * Records that an attempt is about to be started, and checks that no other host has taken over.
    *
    * @param task the attempt
+   * @param workerTaskId the id that the worker gets
    * @param workerId where
    * @param workerIncarnation which life of the worker
    * @return completes when the start may be sent
    */
-  CompletableFuture<Void> placed(TaskId task, String workerId, String workerIncarnation);
+  CompletableFuture<Void> placed(
+      TaskId task, String workerTaskId, String workerId, String workerIncarnation);
 
   /**
    * Records the end of an attempt.
    *
    * @param task the attempt
-   * @param ended how it ended
+   * @param state done or failed for the task as a whole, accepted if it is to be tried again
+   * @param workerId where it ran
+   * @param end how it ended
    * @return completes when the record stands in the log
    */
-  CompletableFuture<Void> ended(TaskId task, EndedTask ended);
+  CompletableFuture<Void> ended(TaskId task, JobState state, String workerId, EndedTask end);
 
   /**
    * Records the last answer about a job.
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JournalException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JournalException.java
@@ -6,7 +6,7 @@
   private static final long serialVersionUID = 1L;
 
   /** What went wrong. */
-  enum Type {
+  public enum Type {
     /** The log can't be reached; the record is certainly not in force. */
     LOG_OUT,
 
@@ -23,17 +23,33 @@
   private final Type type;
   private final String explanation;
 
-  JournalException(Type type, String explanation) {
+  /**
+   * Makes the exception.
+   *
+   * @param type what went wrong
+   * @param explanation what was to be recorded, and what came
+   */
+  public JournalException(Type type, String explanation) {
     super(explanation);
     this.type = type;
     this.explanation = explanation;
   }
 
-  String explanation() {
+  /**
+   * Returns what was to be recorded, and what came.
+   *
+   * @return a sentence
+   */
+  public String explanation() {
     return explanation;
   }
 
-  Type type() {
+  /**
+   * Returns what went wrong.
+   *
+   * @return the type
+   */
+  public Type type() {
     return type;
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/TaskRunner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/TaskRunner.java
@@ -7,9 +7,12 @@
 import org.hickorymoor.daemon.coordinator.JobTask.Phase;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.domain.job.JobKind;
+import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.Reason;
 import org.hickorymoor.domain.job.ReasonType;
 import org.hickorymoor.domain.job.TaskId;
+import org.hickorymoor.domain.ledger.LedgerEntry;
+import org.hickorymoor.domain.ledger.LedgerJob;
 import org.hickorymoor.domain.policy.Decision;
 import org.hickorymoor.domain.policy.TaskEnd;
 import org.hickorymoor.domain.policy.TaskEnd.Outcome;
@@ -90,8 +93,8 @@
     synchronized (lock) {
       if (failure == null && job.jobId().equals(jobId)) {
         enqueue(job);
-      } else if (failure == null) {
-        end(job, ReasonType.KEY_REUSED, "Job " + jobId + " holds the key.");
+      } else if (jobId != null) {
+        rename(job, jobId);
       } else if (WorkerAgent.unwrap(failure) instanceof JournalException e) {
         refuse(job, e);
       }
@@ -99,6 +102,22 @@
     pump.run();
   }
 
+  /** Goes on under the name by which the domain claimed the key earlier. */
+  private void rename(Job job, String jobId) {
+    Job renamed = jobs.byId(jobId);
+    if (renamed == null) {
+      renamed = new Job(jobId, job.spec(), job.acceptedMs());
+    }
+    jobs.remove(job);
+    jobs.add(renamed);
+    renamed.want();
+    job.takeWaiters().forEach(renamed::await);
+    if (renamed.ended()) {
+      notifyWaiters(renamed);
+    }
+    enqueue(renamed);
+  }
+
   private void refuse(Job job, JournalException e) {
     ReasonType type =
         e.type() == JournalException.Type.CLAIMED_ELSEWHERE
@@ -131,6 +150,35 @@
     }
   }
 
+  /** Takes in what the log knows of a job. */
+  void restore(LedgerJob known, boolean settled) {
+    Job job = jobs.byId(known.jobId());
+    if (job == null) {
+      if (jobs.byKey(known.spec().request()) != null) {
+        return;
+      }
+      job = new Job(known.jobId(), known.spec(), nowMs());
+      jobs.add(job);
+    }
+    if (job.ended()) {
+      return;
+    }
+    LedgerRestore.into(job, known, jobs);
+    LedgerEntry.Finished finished = known.finished();
+    if (finished != null) {
+      job.reason(finished.reason());
+      job.end(nowMs());
+      jobs.keepEnded(job);
+      notifyWaiters(job);
+      return;
+    }
+    job.want();
+    if (settled) {
+      enqueue(job);
+    }
+    completeIfEnded(job);
+  }
+
   private static TaskId nextAttempt(Job job, JobTask task) {
     TaskId last = task.attempt();
     return new TaskId(job.jobId(), task.index(), last == null ? 1 : last.attempt() + 1);
@@ -166,7 +214,7 @@
           () ->
               context
                   .journal()
-                  .placed(attempt, workerId, incarnation)
+                  .placed(attempt, task.workerTaskId(), workerId, incarnation)
                   .whenComplete((done, failure) -> placed(job, task, attempt, agent, failure)));
     }
   }
@@ -408,15 +456,17 @@
     if (task.phase() == Phase.WAITING) {
       breakUp(job);
     }
-    calls.add(() -> recordEnd(job, attempt, agent, ended));
+    JobState state = task.status().state();
+    calls.add(() -> recordEnd(job, attempt, state, agent, ended));
     completeIfEnded(job);
   }
 
   /** Called without the lock. A job that must not be repeated keeps its end on the worker. */
-  private void recordEnd(Job job, TaskId attempt, WorkerAgent agent, EndedTask ended) {
+  private void recordEnd(
+      Job job, TaskId attempt, JobState state, WorkerAgent agent, EndedTask ended) {
     context
         .journal()
-        .ended(attempt, ended)
+        .ended(attempt, state, agent.workerId(), ended)
         .whenComplete(
             (done, failure) -> {
               if (failure == null || job.spec().repeatable()) {
@@ -481,6 +531,25 @@
     completeIfEnded(job);
   }
 
+  /** Takes in that a task that was in doubt runs. */
+  void cleared(Job job, JobTask task, String workerId) {
+    task.running(nowMs());
+    job.reason(Reason.NONE);
+    TaskId attempt = task.attempt();
+    if (attempt != null) {
+      context.scheduler().taskFound(attempt, job.spec(), workerId, nowMs());
+    }
+  }
+
+  /** Takes in that the worker of a task in doubt has lost its memory of it. */
+  void lostForGood(Job job, JobTask task) {
+    unplace(task);
+    job.reason(
+        new Reason(
+            ReasonType.WORKER_RESTARTED,
+            "Worker " + task.workerId() + " restarted and can't tell what became of it."));
+  }
+
   /** Queues a task again whose only start certainly never took effect, after it was in doubt. */
   void reopen(Job job, JobTask task) {
     unplace(task);
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerLists.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerLists.java
@@ -82,6 +82,8 @@
     Phase phase = entry.task().phase();
     if (phase == Phase.STARTING || phase == Phase.START_UNANSWERED) {
       entry.task().running(context.clockMs().getAsLong());
+    } else if (phase == Phase.IN_DOUBT) {
+      runner.cleared(entry.job(), entry.task(), agent.workerId());
     }
     if (entry.job().cancelled()) {
       runner.stop(entry.task());
@@ -178,6 +180,8 @@
         boolean neverStarted = task.confirmedMs() == 0 && reply.nowMs() > task.startLimitMs();
         if (!restarted && neverStarted) {
           runner.reopen(entry.job(), task);
+        } else if (restarted) {
+          runner.lostForGood(entry.job(), task);
         }
       }
       case RUNNING -> {
--- /dev/null
+++ b/domain/src/main/java/org/hickorymoor/domain/ledger/KeyClaim.java
@@ -0,0 +1,23 @@
+package org.hickorymoor.domain.ledger;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hickorymoor.domain.job.RequestKey;
+
+/**
+ * A failure domain's claim on the key of a job that must run at most once.
+ *
+ * @param request the key
+ * @param domain the failure domain that claims it
+ * @param jobId the job that it claims it for
+ * @param atMs wall-clock time of the claim, in ms since 1970
+ */
+public record KeyClaim(RequestKey request, String domain, String jobId, long atMs) {
+
+  /** Rejects absent parts. */
+  public KeyClaim {
+    requireNonNull(request, "request");
+    requireNonNull(domain, "domain");
+    requireNonNull(jobId, "jobId");
+  }
+}
--- /dev/null
+++ b/domain/src/test/java/org/hickorymoor/domain/ledger/JobLedgerTest.java
@@ -0,0 +1,83 @@
+package org.hickorymoor.domain.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.domain.job.JobKind;
+import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.job.Spread;
+import org.hickorymoor.domain.job.TaskId;
+import org.junit.jupiter.api.Test;
+
+final class JobLedgerTest {
+
+  private static final TaskId FIRST = new TaskId("j", 0, 1);
+  private static final JobSpec SPEC =
+      new JobSpec(
+          new RequestKey("team", "key"),
+          "plates",
+          JobKind.BATCH,
+          JobClass.NORMAL,
+          1,
+          new Resources(1, 1, 100, 64, 0),
+          0,
+          "",
+          false,
+          Spread.NONE,
+          0,
+          null);
+
+  private final JobLedger ledger = new JobLedger(10);
+
+  @Test
+  void placementOfSupersededTermDoesNotStand() {
+    ledger.apply(new LedgerEntry.Epoch("a", "a1"));
+    ledger.apply(new LedgerEntry.Accepted("j", SPEC, 0));
+    ledger.apply(new LedgerEntry.Epoch("b", "b1"));
+
+    ledger.apply(new LedgerEntry.Placed(FIRST, "j/0/1~x", "w1", "i1", "a1"));
+
+    assertThat(ledger.stands(FIRST, "a1")).isFalse();
+  }
+
+  @Test
+  void placementOfTermInForceStands() {
+    ledger.apply(new LedgerEntry.Epoch("a", "a1"));
+    ledger.apply(new LedgerEntry.Accepted("j", SPEC, 0));
+
+    ledger.apply(new LedgerEntry.Placed(FIRST, "j/0/1~x", "w1", "i1", "a1"));
+
+    assertThat(ledger.stands(FIRST, "a1")).isTrue();
+  }
+
+  @Test
+  void snapshotBringsBackOpenPlacement() {
+    ledger.apply(new LedgerEntry.Epoch("a", "a1"));
+    ledger.apply(new LedgerEntry.Accepted("j", SPEC, 0));
+    ledger.apply(new LedgerEntry.Placed(FIRST, "j/0/1~x", "w1", "i1", "a1"));
+
+    JobLedger fresh = new JobLedger(10);
+    fresh.apply(new LedgerEntry.Epoch("a", "a1"));
+    ledger.snapshot(1).forEach(fresh::apply);
+
+    assertThat(fresh.find("j").orElseThrow().openPlacement(0))
+        .isEqualTo(ledger.find("j").orElseThrow().openPlacement(0));
+  }
+
+  @Test
+  void dropsOldestFinishedJobsOnly() {
+    JobLedger small = new JobLedger(1);
+    for (String jobId : new String[] {"j1", "j2", "open"}) {
+      small.apply(new LedgerEntry.Accepted(jobId, SPEC, 0));
+    }
+    for (String jobId : new String[] {"j1", "j2"}) {
+      small.apply(new LedgerEntry.Finished(jobId, JobState.DONE, Reason.NONE, 0));
+    }
+
+    assertThat(small.jobs().stream().map(LedgerJob::jobId)).containsExactly("j2", "open");
+  }
+}
