Let accelerator work go first on accelerator workers, a bounded number of times

Change: with acceleratorSkips above 0, a job that would take a worker with accelerators lets work in need of them go before it, at most that many times.

--- a/domain/src/main/java/org/hickorymoor/domain/policy/FairQueue.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/FairQueue.java
@@ -81,14 +81,12 @@
 
   /** Returns the job of a class whose turn it is, or null if none is left to try. */
   @Nullable QueuedJob next(JobClass jobClass) {
-    TeamQueue best = null;
-    for (Lane lane : openLanesOf(jobClass)) {
-      TeamQueue first = lane.first();
-      if (first != null && (best == null || first.before(best))) {
-        best = first;
-      }
-    }
-    return best == null ? null : best.head();
+    return firstOf(jobClass, lane -> true);
+  }
+
+  /** Returns the job in need of accelerators whose turn it is, or null if none is left to try. */
+  @Nullable QueuedJob nextWithAccelerators(JobClass jobClass) {
+    return firstOf(jobClass, lane -> lane.need.accelerators() > 0);
   }
 
   /** Passes over the lane of a job until {@link #unblock} finds room for the job. */
@@ -177,6 +175,17 @@
     return state == null ? 0 : state.waitingTasks;
   }
 
+  private @Nullable QueuedJob firstOf(JobClass jobClass, Predicate<Lane> wanted) {
+    TeamQueue best = null;
+    for (Lane lane : openLanesOf(jobClass)) {
+      TeamQueue first = lane.first();
+      if (first != null && wanted.test(lane) && (best == null || first.before(best))) {
+        best = first;
+      }
+    }
+    return best == null ? null : best.head();
+  }
+
   private void reorderAll() {
     for (TeamState state : new ArrayList<>(teams.values())) {
       reorder(state, () -> state.quota = settings.quota(state.team));
--- a/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
@@ -342,10 +342,11 @@
 
   private void startClass(JobClass jobClass, long nowMs, List<Decision> decisions) {
     while (decisions.size() < cell.settings.maxStartsPerDecision()) {
-      QueuedJob job = queue.next(jobClass);
-      if (job == null || (jobClass == JobClass.BATCH && headroomUsedUp())) {
+      QueuedJob next = queue.next(jobClass);
+      if (next == null || (jobClass == JobClass.BATCH && headroomUsedUp())) {
         return;
       }
+      QueuedJob job = acceleratorWorkFirst(next, nowMs);
       if (!queue.everAllows(job)) {
         queue.remove(job);
         unplaceable.add(job);
@@ -357,6 +358,27 @@
     }
   }
 
+  /**
+   * Lets work in need of accelerators go before a job that would take a worker with accelerators, a
+   * bounded number of times per job.
+   */
+  private QueuedJob acceleratorWorkFirst(QueuedJob job, long nowMs) {
+    boolean mayYield =
+        job.acceleratorSkips < cell.settings.acceleratorSkips()
+            && job.demand().accelerators() == 0
+            && !job.allAtOnce();
+    if (!mayYield) {
+      return job;
+    }
+    QueuedJob other = queue.nextWithAccelerators(job.jobClass());
+    WorkerLoad worker = other == null ? null : placement.choose(job, nowMs);
+    if (other == null || worker == null || worker.capacity().accelerators() == 0) {
+      return job;
+    }
+    job.acceleratorSkips++;
+    return other;
+  }
+
   private boolean headroomUsedUp() {
     double limit = cell.total().slots() * (1 - cell.settings.urgentHeadroomShare());
     return cell.ledger.used().slots() >= limit;
@@ -376,6 +398,7 @@
     }
     reservations.release(job);
     job.avoidanceDelays = 0;
+    job.acceleratorSkips = 0;
     queue.restartAging(job, nowMs);
     queue.recount(job);
     return true;
