Add benchmarks of the decisions and a replay against two baselines

Cause: how fast and how good the decisions are has to be measured.

Ruled out: a cluster simulator; the replay only ends tasks at their true time.

Change: a JMH benchmark of one round in a full cell with slopes over workers, waiting jobs and teams, and a replay of seeded arrivals through both schedulers and a random-fit baseline.

--- /dev/null
+++ b/bench/src/main/java/org/hickorymoor/bench/policy/DecideMain.java
@@ -0,0 +1,103 @@
+package org.hickorymoor.bench.policy;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/** Runs {@link DecideBenchmark} over one size at a time and writes the slopes. */
+public final class DecideMain {
+
+  private static final int WORKERS = 110;
+  private static final int QUEUED_JOBS = 1_000;
+  private static final int TEAMS = 48;
+  private static final double MEDIAN = 50;
+  private static final double TAIL = 99;
+  private static final double MICROS_PER_SECOND = 1_000_000;
+
+  private record Size(String sweep, int workers, int queuedJobs, int teams) {}
+
+  private DecideMain() {}
+
+  /**
+   * Runs the benchmarks.
+   *
+   * @param args folder for the CSV file and the plots; docs/plots if absent
+   * @throws IOException if a file can't be written
+   * @throws RunnerException if a benchmark fails
+   */
+  public static void main(String[] args) throws IOException, RunnerException {
+    Path out = Path.of(args.length > 0 ? args[0] : "docs/plots");
+    Files.createDirectories(out);
+    List<DecideRow> rows = new ArrayList<>();
+    for (Size size : sizes()) {
+      rows.add(run(size));
+    }
+    write(rows, out.resolve("decide.csv"));
+    new DecidePlots(out).draw(rows);
+  }
+
+  private static List<Size> sizes() {
+    List<Size> sizes = new ArrayList<>();
+    for (int workers : new int[] {55, 110, 220, 440, 880, 1_700}) {
+      sizes.add(new Size("workers", workers, QUEUED_JOBS, TEAMS));
+    }
+    for (int queuedJobs : new int[] {100, 1_000, 10_000, 100_000}) {
+      sizes.add(new Size("queuedJobs", WORKERS, queuedJobs, TEAMS));
+    }
+    for (int teams : new int[] {10, 48, 160, 480}) {
+      sizes.add(new Size("teams", WORKERS, QUEUED_JOBS, teams));
+    }
+    sizes.add(new Size("whole", 1_700, 10_000, 480));
+    return sizes;
+  }
+
+  private static DecideRow run(Size size) throws RunnerException {
+    Options options =
+        new OptionsBuilder()
+            .include(DecideBenchmark.class.getName() + ".round")
+            .param("workers", Integer.toString(size.workers))
+            .param("queuedJobs", Integer.toString(size.queuedJobs))
+            .param("teams", Integer.toString(size.teams))
+            .build();
+    RunResult result = new Runner(options).runSingle();
+    Result<?> micros = result.getPrimaryResult();
+    return new DecideRow(
+        size.sweep,
+        size.workers,
+        size.queuedJobs,
+        size.teams,
+        micros.getScore(),
+        micros.getStatistics().getPercentile(MEDIAN),
+        micros.getStatistics().getPercentile(TAIL),
+        MICROS_PER_SECOND / micros.getScore());
+  }
+
+  private static void write(List<DecideRow> rows, Path file) throws IOException {
+    try (Writer writer = Files.newBufferedWriter(file);
+        CSVPrinter csv = new CSVPrinter(writer, CSVFormat.DEFAULT)) {
+      csv.printRecord(
+          "sweep",
+          "workers",
+          "queuedJobs",
+          "teams",
+          "meanMicros",
+          "p50Micros",
+          "p99Micros",
+          "roundsPerSecond");
+      for (DecideRow row : rows) {
+        csv.printRecord(row.values());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hickorymoor/bench/policy/ReplayRow.java
@@ -0,0 +1,81 @@
+package org.hickorymoor.bench.policy;
+
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.hickorymoor.domain.job.JobClass;
+
+/**
+ * One replay of one scheduler.
+ *
+ * @param load factor on the rates of arrival
+ * @param seed of the arrivals
+ * @param scheduler name of the scheduler
+ * @param result what was measured
+ */
+record ReplayRow(double load, long seed, String scheduler, ReplayResult result) {
+
+  private static final long URGENT_GOAL_MS = 1_100;
+
+  static final List<String> HEADER =
+      List.of(
+          "load",
+          "seed",
+          "scheduler",
+          "urgentWaitP50Ms",
+          "urgentWaitP99Ms",
+          "urgentWithin1100MsShare",
+          "normalWaitMeanMs",
+          "normalWaitP99Ms",
+          "batchWaitMeanMs",
+          "batchWaitP99Ms",
+          "allAtOnceWaitMeanMs",
+          "allAtOnceWaitMaxMs",
+          "acceleratorWaitMeanMs",
+          "acceleratorWaitP99Ms",
+          "usedShareWhileWaiting",
+          "meanWorkersTouched",
+          "decisions",
+          "throttles",
+          "preemptions",
+          "lostRunMs",
+          "startedTasks",
+          "neverStartedTasks");
+
+  List<Object> values() {
+    Histogram urgent = result.waitMs(JobClass.URGENT);
+    Histogram normal = result.waitMs(JobClass.NORMAL);
+    Histogram batch = result.waitMs(JobClass.BATCH);
+    return List.of(
+        load,
+        seed,
+        scheduler,
+        urgent.getValueAtPercentile(50),
+        urgent.getValueAtPercentile(99),
+        round(urgent.getPercentileAtOrBelowValue(URGENT_GOAL_MS) / 100),
+        round(normal.getMean()),
+        normal.getValueAtPercentile(99),
+        round(batch.getMean()),
+        batch.getValueAtPercentile(99),
+        round(result.togetherWaitMs.getMean()),
+        result.togetherWaitMs.getMaxValue(),
+        round(result.acceleratorWaitMs.getMean()),
+        result.acceleratorWaitMs.getValueAtPercentile(99),
+        round(result.usedShareWhileWaiting()),
+        round(result.meanWorkersTouched()),
+        result.decisions,
+        result.throttles,
+        result.preemptions,
+        result.lostRunMs,
+        result.startedTasks,
+        result.neverStartedTasks);
+  }
+
+  @Override
+  public String toString() {
+    return values().toString();
+  }
+
+  private static double round(double value) {
+    return Math.round(value * 1_000) / 1_000.0;
+  }
+}
