Count the retry budget from the first failure; check whose answer came

A wait of several minutes used up the budget before its first failure, so one host that died during the wait ended the command. The budget now begins at the first failure. An answer about another request is refused, and a broken connection is reported without the HTTP client's inner state.

--- a/cli/src/main/java/org/hickorymoor/cli/CancelCommand.java
+++ b/cli/src/main/java/org/hickorymoor/cli/CancelCommand.java
@@ -3,6 +3,7 @@
 import org.hickorymoor.cli.client.ClientException;
 import org.hickorymoor.cli.client.JobReply;
 import org.hickorymoor.cli.client.ServerErrorException;
+import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.RequestKey;
 import org.kohsuke.args4j.Argument;
 
@@ -20,6 +21,7 @@
   public ExitCode run(Session session) throws ClientException, ServerErrorException {
     JobReply reply = session.jobs().cancel(request);
     JobView.print(session, reply);
-    return ExitCode.OK;
+    // A cancelled job is not run or failed, as asked; in doubt is the one state that is not an end.
+    return reply.answer().state() == JobState.IN_DOUBT ? ExitCode.IN_DOUBT : ExitCode.OK;
   }
 }
--- a/cli/src/main/java/org/hickorymoor/cli/Fields.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Fields.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.stream.StreamSupport;
 
-/** Reads answers for display: what is absent becomes {@code -}, so that old and new servers do. */
+/** Reads answers for display; what an older or newer server leaves out becomes {@code -}. */
 final class Fields {
 
   private static final String ABSENT = "-";
--- a/cli/src/main/java/org/hickorymoor/cli/client/HttpTransport.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/HttpTransport.java
@@ -5,6 +5,8 @@
 
 import com.google.common.primitives.Longs;
 import com.google.common.util.concurrent.Uninterruptibles;
+import java.net.SocketException;
+import java.net.UnknownHostException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -116,10 +118,16 @@
 
   private static String describe(Throwable cause, boolean begun) {
     if (!begun) {
-      return "no connection (" + cause.getMessage() + ")";
+      return "no connection (" + detail(cause) + ")";
     }
     return cause instanceof TimeoutException
         ? "no answer in time"
-        : "the connection broke (" + cause.getMessage() + ")";
+        : "the connection broke (" + detail(cause) + ")";
+  }
+
+  /** Leaves out messages of the HTTP client, which show its inside at length. */
+  private static String detail(Throwable cause) {
+    boolean fromSystem = cause instanceof SocketException || cause instanceof UnknownHostException;
+    return fromSystem ? String.valueOf(cause.getMessage()) : cause.getClass().getSimpleName();
   }
 }
--- a/cli/src/main/java/org/hickorymoor/cli/client/JobClient.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/JobClient.java
@@ -4,8 +4,6 @@
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.RequestKey;
-import org.hickorymoor.protocol.caller.CallerJson;
-import org.hickorymoor.protocol.json.InvalidRecordException;
 
 /**
  * Submits jobs and asks about them.
@@ -52,6 +50,7 @@
    */
   public JobReply submit(JobSpec spec, String json, long waitMs)
       throws ClientException, ServerErrorException {
+    RequestKey request = spec.request();
     long deadlineMs = pacer.nowMs() + waitMs;
     long firstWaitMs = Math.min(waitMs, MAX_SERVER_WAIT_MS);
     Call call =
@@ -61,14 +60,14 @@
             json,
             firstWaitMs,
             spec.repeatable(),
-            JobClient::assessSubmit);
+            reply -> assessSubmit(reply, request));
     JobReply first;
     try {
-      first = JobReply.of(client.send(call));
+      first = JobReply.of(client.send(call), request);
     } catch (OutcomeUnknownException e) {
-      first = findSubmitted(spec.request(), e);
+      first = findSubmitted(request, e);
     }
-    return await(first, deadlineMs);
+    return await(request, first, deadlineMs);
   }
 
   /**
@@ -84,8 +83,8 @@
       throws ClientException, ServerErrorException {
     long deadlineMs = pacer.nowMs() + waitMs;
     long firstWaitMs = Math.min(waitMs, MAX_SERVER_WAIT_MS);
-    JobReply first = JobReply.of(client.send(statusCall(request, firstWaitMs)));
-    return await(first, deadlineMs);
+    JobReply first = JobReply.of(client.send(statusCall(request, firstWaitMs)), request);
+    return await(request, first, deadlineMs);
   }
 
   /**
@@ -97,7 +96,7 @@
    * @throws ServerErrorException if a server answered by an error, such as for an unknown job
    */
   public JobReply cancel(RequestKey request) throws ClientException, ServerErrorException {
-    return JobReply.of(client.send(Call.aboutJob("DELETE", path(request), 0)));
+    return JobReply.of(client.send(Call.aboutJob("DELETE", path(request), 0)), request);
   }
 
   private JobReply findSubmitted(RequestKey request, OutcomeUnknownException failure)
@@ -105,7 +104,7 @@
     try {
       Reply reply = client.send(statusCall(request, 0));
       if (reply.isSuccess()) {
-        return JobReply.of(reply);
+        return JobReply.of(reply, request);
       }
     } catch (UnreachableException e) {
       failure.addSuppressed(e);
@@ -113,16 +112,16 @@
     throw failure;
   }
 
-  private JobReply await(JobReply first, long deadlineMs)
+  private JobReply await(RequestKey request, JobReply first, long deadlineMs)
       throws ClientException, ServerErrorException {
     JobReply last = first;
     long leftMs = deadlineMs - pacer.nowMs();
     while (!last.answer().state().isFinal() && leftMs > 0) {
       pacer.sleep(Math.min(leftMs, Math.max(POLL_PAUSE_MS, last.answer().retryAfterMs())));
       long waitMs = Math.max(0, Math.min(deadlineMs - pacer.nowMs(), MAX_SERVER_WAIT_MS));
-      Reply reply = client.send(statusCall(last.answer().request(), waitMs));
+      Reply reply = client.send(statusCall(request, waitMs));
       // A host that has just taken over may not know the job yet.
-      last = reply.status() == NOT_FOUND ? last : JobReply.of(reply);
+      last = reply.status() == NOT_FOUND ? last : JobReply.of(reply, request);
       leftMs = deadlineMs - pacer.nowMs();
     }
     return last;
@@ -137,13 +136,13 @@
   }
 
   /** Tells a certain refusal from an outcome that nobody knows. */
-  private static Assessment assessSubmit(Reply reply) {
+  private static Assessment assessSubmit(Reply reply, RequestKey request) {
     try {
-      JobAnswer answer = CallerJson.parseAnswer(reply.body());
+      JobAnswer answer = JobReply.of(reply, request).answer();
       return answer.state() == JobState.NOT_RUN
           ? new Assessment(Verdict.NO_EFFECT, Math.max(answer.retryAfterMs(), reply.retryAfterMs()))
           : Assessment.FINAL;
-    } catch (InvalidRecordException e) {
+    } catch (ServerErrorException e) {
       boolean refused = !reply.isSuccess() && !reply.isServerError();
       return refused ? Assessment.FINAL : new Assessment(Verdict.UNKNOWN, 0);
     }
--- a/cli/src/main/java/org/hickorymoor/cli/client/RetryingClient.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/RetryingClient.java
@@ -31,7 +31,7 @@
    *
    * @param transport sends one call to one server
    * @param servers servers in the order of preference
-   * @param budgetMs time after which a call is not repeated again
+   * @param budgetMs time after the first failure in which a call is repeated
    * @param pacer clock and pauses
    * @param random source of the jitter
    */
@@ -58,10 +58,11 @@
    * @throws OutcomeUnknownException if the call may have had an effect and no reply tells
    */
   public Reply send(Call call) throws UnreachableException, OutcomeUnknownException {
+    Attempt attempt = attempt(call);
+    // The first attempt may have been a long wait, which is not held against the repeats.
     long deadlineMs = pacer.nowMs() + budgetMs;
     boolean maybeSent = false;
     for (int attempts = 1; ; attempts++) {
-      Attempt attempt = attempt(call);
       if (attempt.assessment.verdict() == Verdict.FINAL && attempt.reply != null) {
         return attempt.reply;
       }
@@ -71,6 +72,7 @@
         return giveUp(call, attempt, maybeSent);
       }
       pacer.sleep(pauseMs);
+      attempt = attempt(call);
     }
   }
 
--- a/cli/src/main/java/org/hickorymoor/cli/client/ServerErrorException.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/ServerErrorException.java
@@ -57,7 +57,7 @@
     String start = body.length() > MAX_ECHO_CHARS ? body.substring(0, MAX_ECHO_CHARS) : body;
     return ErrorBody.of(
         UNREADABLE,
-        "expected an answer of hickorymoord, got status "
+        "expected an answer of hickorymoord to this request, got status "
             + reply.status()
             + " with: "
             + start.replaceAll("\\p{Cntrl}", " ")
--- a/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
+++ b/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
@@ -114,6 +114,13 @@
     assertThat(jobs.status(REQUEST, 0).answer().state()).isEqualTo(JobState.DONE);
   }
 
+  @Test
+  void doesNotTakeTheAnswerToAnotherRequest() {
+    transport.thenReply(200, answer(JobState.DONE).replace("\"k\"", "\"other\""));
+
+    assertThrows(ServerErrorException.class, () -> jobs.status(REQUEST, 0));
+  }
+
   @Test
   void reportsJobThatNoServerKnows() {
     transport.thenReply(404, UNKNOWN_JOB);
--- a/cli/src/test/java/org/hickorymoor/cli/client/RetryingClientTest.java
+++ b/cli/src/test/java/org/hickorymoor/cli/client/RetryingClientTest.java
@@ -54,6 +54,19 @@
     assertThat(pacer.pausesMs.get(3)).isGreaterThan(pacer.pausesMs.get(0));
   }
 
+  @Test
+  void doesNotCountTheFirstLongWaitAgainstTheBudget() throws Exception {
+    transport
+        .then(
+            (server, call) -> {
+              pacer.sleep(6 * BUDGET_MS);
+              throw new TransportException("broken", true);
+            })
+        .thenReply(200, "{}");
+
+    assertThat(client("a:1").send(CELL).status()).isEqualTo(200);
+  }
+
   @Test
   void sendsAnUnrepeatableCallAgainWhereNoConnectionWasMade() throws Exception {
     transport.thenNoConnection().thenReply(200, "{}");
