--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerClient.java
@@ -75,9 +75,10 @@
   public void stop() {
     running = false;
     CompletableFuture<Void> drained = new CompletableFuture<>();
-    loop.execute(() -> awaitDrained(drained));
-    Waits.awaitQuietly(drained, settings.stopGraceMs());
-    loop.execute(() -> channels.values().forEach(channel -> channel.close("this host stops")));
+    if (loop.execute(() -> awaitDrained(drained))) {
+      Waits.awaitQuietly(drained, settings.stopGraceMs());
+      loop.execute(() -> channels.values().forEach(channel -> channel.close("this host stops")));
+    }
     loop.stop();
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerServer.java
@@ -95,7 +95,7 @@
     acceptor.configureBlocking(false);
     acceptor.bind(Addresses.parse(bindAddress));
     address = Addresses.format((InetSocketAddress) acceptor.getLocalAddress());
-    loop.register(acceptor, SelectionKey.OP_ACCEPT, key -> accept(acceptor));
+    loop.register(acceptor, SelectionKey.OP_ACCEPT, key -> acceptAll(acceptor));
     loop.start();
     logger.atInfo().log("peer: listening on %s", address);
   }
@@ -117,9 +117,8 @@
    * their replies.
    */
   public void stop() {
-    if (address != null) {
-      CompletableFuture<Void> drained = new CompletableFuture<>();
-      loop.execute(() -> beginStop(drained));
+    CompletableFuture<Void> drained = new CompletableFuture<>();
+    if (address != null && loop.execute(() -> beginStop(drained))) {
       Waits.awaitQuietly(drained, settings.stopGraceMs());
       loop.execute(this::closeAll);
     }
@@ -127,11 +126,15 @@
     logger.atInfo().log("peer: stopped");
   }
 
-  private void accept(ServerSocketChannel acceptor) throws IOException {
+  private void acceptAll(ServerSocketChannel acceptor) throws IOException {
     SocketChannel channel = acceptor.accept();
-    if (channel == null) {
-      return;
+    while (channel != null) {
+      accept(channel);
+      channel = acceptor.accept();
     }
+  }
+
+  private void accept(SocketChannel channel) throws IOException {
     if (stopping || connections.size() >= settings.maxConnections()) {
       metrics.count(Event.REJECTED_CONNECTION);
       channel.close();
