Follow, publish and pass on the configuration; keep an audit trail

Cause: an accepted configuration has to be in force everywhere within seconds and never revert, with lost replies, racing operators, outages and retention. Ruled out: answering a publish from the append's reply alone, since a reply can be lost and an earlier record can win.

--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/audit/AuditCodec.java
@@ -0,0 +1,29 @@
+package org.hickorymoor.daemon.audit;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonParseException;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** Writes and reads entries as JSON. */
+final class AuditCodec {
+
+  private static final Gson GSON = new Gson();
+
+  private AuditCodec() {}
+
+  static String encode(AuditEntry entry) {
+    return GSON.toJson(entry);
+  }
+
+  /** Reads an entry, or returns empty if the JSON is none. */
+  static Optional<AuditEntry> decode(JsonElement json) {
+    try {
+      @Nullable AuditEntry entry = GSON.fromJson(json, AuditEntry.class);
+      return Optional.ofNullable(entry);
+    } catch (JsonParseException | NullPointerException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/audit/AuditFilter.java
@@ -0,0 +1,40 @@
+package org.hickorymoor.daemon.audit;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Which entries to read.
+ *
+ * @param who operator, or null for any
+ * @param what kind of change or its beginning, or null for any
+ * @param target what was changed, or null for any
+ * @param fromMs earliest wall-clock time
+ * @param limit most entries, the newest of those that match
+ */
+public record AuditFilter(
+    @Nullable String who, @Nullable String what, @Nullable String target, long fromMs, int limit) {
+
+  /** Checks the range. */
+  public AuditFilter {
+    checkArgument(limit >= 1, "limit must be at least 1, got %s", limit);
+  }
+
+  /**
+   * Returns a filter that everything passes.
+   *
+   * @param limit most entries
+   * @return the filter
+   */
+  public static AuditFilter newest(int limit) {
+    return new AuditFilter(null, null, null, Long.MIN_VALUE, limit);
+  }
+
+  boolean matches(AuditEntry entry) {
+    return (who == null || who.equals(entry.who()))
+        && (what == null || entry.what().startsWith(what))
+        && (target == null || target.equals(entry.target()))
+        && entry.atMs() >= fromMs;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/AuditedPublisher.java
@@ -0,0 +1,84 @@
+package org.hickorymoor.daemon.config;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.hickorymoor.daemon.audit.AuditEntry;
+import org.hickorymoor.daemon.audit.AuditTrail;
+import org.hickorymoor.protocol.json.EnumNames;
+
+/**
+ * Publishes configurations and records each attempt in the audit trail.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class AuditedPublisher {
+
+  private static final String WHAT = "config.publish";
+  private static final String TARGET = "config";
+
+  private final ConfigService service;
+  private final AuditTrail trail;
+  private final LongSupplier wallClockMs;
+
+  /**
+   * Makes a publisher.
+   *
+   * @param service publishes
+   * @param trail takes the entries
+   * @param wallClockMs wall-clock time in ms since the epoch
+   */
+  public AuditedPublisher(ConfigService service, AuditTrail trail, LongSupplier wallClockMs) {
+    this.service = requireNonNull(service, "service");
+    this.trail = requireNonNull(trail, "trail");
+    this.wallClockMs = requireNonNull(wallClockMs, "wallClockMs");
+  }
+
+  /**
+   * Publishes a configuration, see {@link ConfigService#publish}.
+   *
+   * @param bodyJson the configuration
+   * @param expectedVersion version that it replaces
+   * @param who operator
+   * @param publishId unique per publish
+   * @return what became of it
+   */
+  public CompletableFuture<PublishResult> publish(
+      String bodyJson, long expectedVersion, String who, String publishId) {
+    return service
+        .publish(bodyJson, expectedVersion, who, publishId)
+        .whenComplete((result, problem) -> record(expectedVersion, who, publishId, result));
+  }
+
+  private void record(long before, String who, String publishId, PublishResult result) {
+    String after =
+        result instanceof PublishResult.Accepted accepted ? Long.toString(accepted.version()) : "";
+    var unused =
+        trail.record(
+            new AuditEntry(
+                wallClockMs.getAsLong(),
+                who,
+                WHAT,
+                TARGET + "/" + publishId,
+                Long.toString(before),
+                after,
+                outcome(result)));
+  }
+
+  private static String outcome(PublishResult result) {
+    if (result instanceof PublishResult.Accepted) {
+      return "accepted";
+    }
+    if (result instanceof PublishResult.Conflict conflict) {
+      return "conflict with version " + conflict.currentVersion();
+    }
+    if (result instanceof PublishResult.Invalid invalid) {
+      return "invalid, " + invalid.problems().size() + " problems";
+    }
+    if (result instanceof PublishResult.NotPublished refused) {
+      return "not published, " + EnumNames.textOf(refused.reason());
+    }
+    return "unknown";
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -0,0 +1,331 @@
+package org.hickorymoor.daemon.config;
+
+import static java.util.Objects.requireNonNull;
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.function.LongSupplier;
+import org.hickorymoor.daemon.stream.AppendBudget;
+import org.hickorymoor.daemon.stream.FollowerStatus;
+import org.hickorymoor.daemon.stream.LogFollower;
+import org.hickorymoor.daemon.stream.StreamContext;
+import org.hickorymoor.daemon.stream.StreamGap;
+import org.hickorymoor.daemon.stream.StreamListener;
+import org.hickorymoor.domain.config.ConfigRecord;
+import org.hickorymoor.domain.config.ConfigRecord.Publication;
+import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
+import org.hickorymoor.domain.config.ConfigState;
+import org.hickorymoor.protocol.config.ConfigCodec;
+import org.hickorymoor.protocol.config.ConfigRecordCodec;
+import org.hickorymoor.protocol.json.InvalidRecordException;
+import org.hickorymoor.protocol.platform.LogRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps this host's configuration the newest that the log or its peers hold, and publishes.
+ *
+ * <pre>{@code
+ * service.addListener(view -> apply(view.config()));
+ * service.start();
+ * service.publish(json, service.current().config().version(), "ada", id);
+ * peer.send(service.recordsAfter(peerStatus.appliedOffset()));
+ * }</pre>
+ *
+ * <p>Safe for use by several threads. Publishing never fails but by its {@link PublishResult}.
+ */
+public final class ConfigService {
+
+  /** Name of the stream. */
+  public static final String STREAM = "config";
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long NO_OFFSET = -1;
+
+  private final StreamContext context;
+  private final LongSupplier wallClockMs;
+  private final ConfigServiceSettings settings;
+  private final AppendBudget budget;
+  private final ConfigStore store = new ConfigStore();
+  private final ConfigPublisher publisher;
+  private final LogFollower follower;
+  private final Object lock = new Object();
+
+  // Guarded by lock.
+  private final SnapshotTimer snapshotTimer;
+  private @Nullable ScheduledFuture<?> snapshotTask;
+  private boolean running;
+  private boolean ready;
+  private boolean readFailed;
+  private boolean peerHeard;
+
+  /**
+   * Makes a service that knows nothing.
+   *
+   * @param context the log, timers and clock
+   * @param wallClockMs wall-clock time in ms since the epoch, for records only
+   * @param budget limit on appends, shared by the process
+   * @param settings how to work
+   */
+  public ConfigService(
+      StreamContext context,
+      LongSupplier wallClockMs,
+      AppendBudget budget,
+      ConfigServiceSettings settings) {
+    this.context = requireNonNull(context, "context");
+    this.wallClockMs = requireNonNull(wallClockMs, "wallClockMs");
+    this.settings = requireNonNull(settings, "settings");
+    this.budget = requireNonNull(budget, "budget");
+    this.publisher = new ConfigPublisher(context, store, budget, settings);
+    this.follower = new LogFollower(context, STREAM, 0, settings.follower(), new RecordApplier());
+    this.snapshotTimer = new SnapshotTimer(settings.recordsPerSnapshot(), context.nowMs());
+    var unused =
+        context.metrics().gauge("config.version", () -> () -> current().config().version());
+  }
+
+  /** Starts following. Has no effect on a service that runs. */
+  public void start() {
+    synchronized (lock) {
+      if (running) {
+        return;
+      }
+      running = true;
+      snapshotTask =
+          context
+              .executor()
+              .scheduleWithFixedDelay(
+                  this::considerSnapshot,
+                  settings.snapshotCheckMs(),
+                  settings.snapshotCheckMs(),
+                  MILLISECONDS);
+    }
+    follower.start();
+  }
+
+  /** Stops following; publishes under way are answered. */
+  public void stop() {
+    synchronized (lock) {
+      running = false;
+      if (snapshotTask != null) {
+        snapshotTask.cancel(false);
+        snapshotTask = null;
+      }
+    }
+    follower.stop();
+    publisher.stop();
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return version 0 with its defaults before any is known
+   */
+  public ConfigView current() {
+    return store.view();
+  }
+
+  /**
+   * Tells whether this host has known the newest configuration since its start: all that the log
+   * held, or, with the log out, what a peer held.
+   *
+   * @return false while a new host should not serve
+   */
+  public boolean ready() {
+    synchronized (lock) {
+      return ready;
+    }
+  }
+
+  /**
+   * Returns how well this host knows the configuration.
+   *
+   * @return a snapshot
+   */
+  public ConfigStatus status() {
+    boolean complete = store.read(ConfigState::isComplete);
+    long appliedOffset = store.read(ConfigState::appliedOffset);
+    return new ConfigStatus(ready(), complete, appliedOffset, follower.status());
+  }
+
+  /**
+   * Adds a listener, which is told the configuration in force at once.
+   *
+   * @param listener the listener
+   */
+  public void addListener(ConfigListener listener) {
+    store.addListener(listener);
+  }
+
+  /**
+   * Publishes a configuration.
+   *
+   * @param bodyJson the configuration, of any known schema version
+   * @param expectedVersion version that it replaces
+   * @param who operator
+   * @param publishId unique; a repeat under the same id comes into force once at most
+   * @return what became of it, within the publish and the append timeout
+   */
+  public CompletableFuture<PublishResult> publish(
+      String bodyJson, long expectedVersion, String who, String publishId) {
+    try {
+      var unused = ConfigCodec.parse(bodyJson);
+    } catch (InvalidRecordException e) {
+      return CompletableFuture.completedFuture(new PublishResult.Invalid(e.problems()));
+    }
+    PublishResult known = knownResult(publishId, expectedVersion);
+    if (known != null) {
+      return CompletableFuture.completedFuture(known);
+    }
+    String record =
+        ConfigRecordCodec.publication(
+            publishId, expectedVersion, who, wallClockMs.getAsLong(), bodyJson);
+    return publisher.publish(record, publishId, expectedVersion);
+  }
+
+  /**
+   * Says what became of a publish whose result was unknown.
+   *
+   * @param publishId its id
+   * @param expectedVersion version that it expected
+   * @return accepted, conflict, or still unknown
+   */
+  public PublishResult outcome(String publishId, long expectedVersion) {
+    return publisher.outcome(publishId, expectedVersion);
+  }
+
+  /**
+   * Returns what a peer lacks: the state of this host as one record.
+   *
+   * @param offset offset up to which the peer has applied every record
+   * @return empty if this host knows no more
+   */
+  public List<LogRecord> recordsAfter(long offset) {
+    return store.read(
+        state -> {
+          if (!state.isComplete() || state.appliedOffset() <= offset) {
+            return List.of();
+          }
+          Snapshot snapshot = state.snapshot(wallClockMs.getAsLong());
+          return List.of(
+              new LogRecord(state.appliedOffset(), ConfigRecordCodec.snapshot(snapshot)));
+        });
+  }
+
+  /**
+   * Takes what a peer passes on. An empty list says that the peer knows no more than this host.
+   *
+   * @param records what the peer's {@link #recordsAfter} returned
+   * @return whether anything was new
+   */
+  public boolean offer(List<LogRecord> records) {
+    boolean adopted = false;
+    for (LogRecord record : records) {
+      if (ConfigRecordCodec.decode(record.data()) instanceof Snapshot snapshot) {
+        adopted |= store.adopt(snapshot);
+      }
+    }
+    synchronized (lock) {
+      peerHeard |= adopted;
+    }
+    updateReady();
+    return adopted;
+  }
+
+  private @Nullable PublishResult knownResult(String publishId, long expectedVersion) {
+    PublishResult known = outcome(publishId, expectedVersion);
+    if (!(known instanceof PublishResult.Unknown)) {
+      return known;
+    }
+    long version = current().config().version();
+    if (version > expectedVersion) {
+      return new PublishResult.Conflict(version, null);
+    }
+    synchronized (lock) {
+      if (!running) {
+        return new PublishResult.NotPublished(PublishResult.Reason.STOPPED);
+      }
+      boolean behind = !ready || version < expectedVersion;
+      return behind ? new PublishResult.NotPublished(PublishResult.Reason.HOST_BEHIND) : null;
+    }
+  }
+
+  private void updateReady() {
+    boolean complete = store.read(ConfigState::isComplete);
+    FollowerStatus log = follower.status();
+    boolean logOut = log.state() == FollowerStatus.State.OUT;
+    synchronized (lock) {
+      boolean peerSuffices = peerHeard && readFailed && logOut;
+      if (!ready && complete && (log.everRead() || peerSuffices)) {
+        ready = true;
+        logger.atInfo().log("config: ready");
+      }
+    }
+  }
+
+  private void considerSnapshot() {
+    boolean live = follower.status().state() == FollowerStatus.State.LIVE;
+    if (!live || !takeSnapshotTurn(current().config().logRetentionMs())) {
+      return;
+    }
+    // Empty while records are missed, and where there never were any.
+    for (LogRecord record : recordsAfter(NO_OFFSET)) {
+      var unused =
+          context
+              .log()
+              .append(STREAM, record.data(), settings.appendTimeoutMs())
+              .whenComplete((offset, problem) -> logSnapshot(offset, problem));
+    }
+  }
+
+  private boolean takeSnapshotTurn(long retentionMs) {
+    synchronized (lock) {
+      long nowMs = context.nowMs();
+      if (!ready || !snapshotTimer.isDue(nowMs, retentionMs) || budget.tryTake() > 0) {
+        return false;
+      }
+      snapshotTimer.snapshotSent(nowMs);
+      return true;
+    }
+  }
+
+  private static void logSnapshot(@Nullable Long offset, @Nullable Throwable problem) {
+    if (problem == null) {
+      logger.atInfo().log("config: snapshot at offset %s", offset);
+    } else {
+      logger.atWarning().log("config: snapshot failed: %s", problem);
+    }
+  }
+
+  /** Applies what the follower reads. */
+  private final class RecordApplier implements StreamListener {
+
+    @Override
+    public void onRecord(LogRecord record) {
+      ConfigRecord decoded = ConfigRecordCodec.decode(record.data());
+      store.apply(record.offset(), decoded);
+      synchronized (lock) {
+        if (decoded instanceof Snapshot snapshot) {
+          long ageMs = wallClockMs.getAsLong() - snapshot.atMs();
+          snapshotTimer.snapshotSeen(context.nowMs(), ageMs);
+        } else if (decoded instanceof Publication) {
+          snapshotTimer.publicationSeen();
+        }
+      }
+    }
+
+    @Override
+    public void onGap(StreamGap gap) {
+      store.missUpTo(gap.toOffset());
+    }
+
+    @Override
+    public void onStatus(FollowerStatus status) {
+      synchronized (lock) {
+        readFailed |= status.state() == FollowerStatus.State.OUT;
+      }
+      updateReady();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/package-info.java
@@ -0,0 +1,5 @@
+/** Following, publishing and passing on the configuration. */
+@NullMarked
+package org.hickorymoor.daemon.config;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/test/java/org/hickorymoor/daemon/stream/FakeLog.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/stream/FakeLog.java
@@ -33,6 +33,7 @@
   private final Map<String, Integer> startOffsets = new HashMap<>();
   private final Deque<Fault> appendFaults = new ArrayDeque<>();
   private final List<Runnable> held = new ArrayList<>();
+  private Fault standingFault = Fault.NONE;
   private boolean out;
 
   /** Sets the faults of the next appends. */
@@ -40,6 +41,11 @@
     appendFaults.addAll(List.of(faults));
   }
 
+  /** Sets the fault of every append that has none of its own. */
+  public synchronized void failEveryAppend(Fault fault) {
+    standingFault = fault;
+  }
+
   /** Takes the log out of service, or back. */
   public synchronized void setOut(boolean out) {
     this.out = out;
@@ -63,7 +69,7 @@
 
   @Override
   public synchronized CompletableFuture<Long> append(String stream, String data, long timeoutMs) {
-    Fault fault = appendFaults.isEmpty() ? Fault.NONE : appendFaults.removeFirst();
+    Fault fault = appendFaults.isEmpty() ? standingFault : appendFaults.removeFirst();
     if (out) {
       return failure(PlatformException.Type.UNREACHABLE);
     }
--- a/domain/src/main/java/org/hickorymoor/domain/config/ConfigState.java
+++ b/domain/src/main/java/org/hickorymoor/domain/config/ConfigState.java
@@ -33,7 +33,7 @@
   public static final int HISTORY_SIZE = 64;
 
   /** Records held back at most by an incomplete state. */
-  static final int MAX_HELD_BACK = 1024;
+  static final int MAX_HELD_BACK = 256;
 
   private static final long NO_OFFSET = -1;
 
--- a/domain/src/test/java/org/hickorymoor/domain/config/ConfigStateTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/config/ConfigStateTest.java
@@ -111,6 +111,14 @@
     assertThat(state.verdict("a", 0)).isEqualTo(new ConfigVerdict.Accepted(1, 0));
   }
 
+  @Test
+  void neverAdoptsLowerVersion() {
+    state.apply(0, publication("a", 0));
+
+    assertThat(state.adopt(new Snapshot(9, 0, -1, List.of(), 0, valid()))).isFalse();
+    assertThat(state.config().version()).isEqualTo(1);
+  }
+
   @Test
   void holdsBackNoMoreThanItsLimit() {
     state.missUpTo(1);
