--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/membership/MembershipChange.java
@@ -0,0 +1,22 @@
+package org.hickorymoor.daemon.membership;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hickorymoor.protocol.platform.HostEntry;
+
+/**
+ * A change of a host's condition.
+ *
+ * @param host the host
+ * @param before condition before
+ * @param after condition after
+ */
+public record MembershipChange(HostEntry host, HostCondition before, HostCondition after) {
+
+  /** Rejects absent parts. */
+  public MembershipChange {
+    requireNonNull(host, "host");
+    requireNonNull(before, "before");
+    requireNonNull(after, "after");
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Which hosts there are, and how they are. */
+@NullMarked
+package org.hickorymoor.daemon.membership;
+
+import org.jspecify.annotations.NullMarked;
