Wire membership, configuration, audit and the scheduling policy into the daemon

Cause: a daemon knew no other host and ran the plain baseline. Change: membership names the coordinator, requests are routed to it and sent again to the next one; the configuration in force sets policy, worker limits and drains; peers pass a newer configuration on.

--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/ConfigExchange.java
@@ -0,0 +1,59 @@
+package org.hickorymoor.daemon;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.hickorymoor.daemon.config.ConfigService;
+import org.hickorymoor.daemon.entry.Router;
+import org.hickorymoor.daemon.peer.PeerReply;
+import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.protocol.platform.HostEntry;
+
+/**
+ * Fetches the configuration from peers that know a newer one, so that a host that is cut off from
+ * the log still gets it within seconds. Thread-safe.
+ */
+final class ConfigExchange {
+
+  private static final long CALL_TIMEOUT_MS = 2_000;
+  private static final int MAX_RECORDS = 8;
+
+  private final ConfigService config;
+  private final Neighbours neighbours;
+  private final Router.Calls calls;
+
+  ConfigExchange(ConfigService config, Neighbours neighbours, Router.Calls calls) {
+    this.config = config;
+    this.neighbours = neighbours;
+    this.calls = calls;
+  }
+
+  void start(ScheduledExecutorService executor, long periodMs) {
+    executor.scheduleWithFixedDelay(this::fetchNewer, periodMs, periodMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void fetchNewer() {
+    long ownOffset = config.status().appliedOffset();
+    neighbours.livePeers().stream()
+        .filter(peer -> knowsMore(peer, ownOffset))
+        .findFirst()
+        .ifPresent(peer -> fetch(peer, ownOffset));
+  }
+
+  private boolean knowsMore(HostEntry peer, long ownOffset) {
+    return neighbours
+        .statusOf(peer.hostId())
+        .map(status -> status.configOffset() > ownOffset)
+        .orElse(false);
+  }
+
+  private void fetch(HostEntry peer, long ownOffset) {
+    calls
+        .call(peer.address(), new PeerRequest.FetchConfig(ownOffset, MAX_RECORDS), CALL_TIMEOUT_MS)
+        .thenAccept(
+            reply -> {
+              if (reply instanceof PeerReply.ConfigReply records) {
+                config.offer(records.records());
+              }
+            });
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
@@ -5,35 +5,48 @@
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickorymoor.daemon.adapter.HttpHostListAdapter;
 import org.hickorymoor.daemon.adapter.HttpLogAdapter;
 import org.hickorymoor.daemon.adapter.HttpWorkerAdapter;
 import org.hickorymoor.daemon.adapter.PlatformHttp;
+import org.hickorymoor.daemon.audit.AuditTrail;
+import org.hickorymoor.daemon.config.AuditedPublisher;
+import org.hickorymoor.daemon.config.ConfigService;
+import org.hickorymoor.daemon.config.ConfigServiceSettings;
 import org.hickorymoor.daemon.coordinator.CellHandler;
-import org.hickorymoor.daemon.coordinator.Contenders;
 import org.hickorymoor.daemon.coordinator.Coordinator;
 import org.hickorymoor.daemon.coordinator.CoordinatorSettings;
-import org.hickorymoor.daemon.entry.Directory;
 import org.hickorymoor.daemon.entry.JobService;
 import org.hickorymoor.daemon.entry.Router;
 import org.hickorymoor.daemon.http.HttpInterface;
 import org.hickorymoor.daemon.http.HttpInterfaces;
 import org.hickorymoor.daemon.journal.JournalSettings;
 import org.hickorymoor.daemon.journal.LogJournal;
+import org.hickorymoor.daemon.membership.Membership;
+import org.hickorymoor.daemon.membership.MembershipSettings;
 import org.hickorymoor.daemon.peer.PeerClient;
+import org.hickorymoor.daemon.peer.PeerRequest.Status;
 import org.hickorymoor.daemon.peer.PeerServer;
 import org.hickorymoor.daemon.peer.PeerSettings;
+import org.hickorymoor.daemon.port.HostListPort;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.settings.DaemonSettings;
+import org.hickorymoor.daemon.settings.DaemonSettings.SchedulerKind;
 import org.hickorymoor.daemon.stream.AppendBudget;
 import org.hickorymoor.daemon.stream.StreamContext;
 import org.hickorymoor.domain.lease.HoldSettings;
+import org.hickorymoor.domain.policy.CellScheduler;
 import org.hickorymoor.domain.policy.FirstFitScheduler;
+import org.hickorymoor.domain.policy.PolicyScheduler;
+import org.hickorymoor.domain.policy.PolicySettings;
+import org.hickorymoor.protocol.json.EnumNames;
+import org.hickorymoor.protocol.platform.HostEntry;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One entry host: serves callers, and coordinates its failure domain when it is its turn.
@@ -53,13 +66,24 @@
   private static final long TICK_MS = 25;
   private static final long STAGGER_MS = 300;
   private static final int INCARNATION_RADIX = 36;
+  private static final int MAX_AUDIT_ENTRIES = 5_000;
+  private static final long MIN_PAUSED_AFTER_MS = 1_000;
+  private static final long HEARTBEATS_MISSED = 4;
+  private static final long DEAD_FACTOR = 4;
+  private static final long REMOTE_STATUS_FACTOR = 10;
 
   private final DaemonSettings settings;
   private final String incarnation;
   private final MetricRegistry metrics = new MetricRegistry();
   private final ScheduledExecutorService executor;
   private final PlatformHttp platform;
-  private final HostListPoller hosts;
+  private final Neighbours neighbours;
+  private final ConfigService config;
+  private final AuditTrail audit;
+  private final HostListPort hostList;
+  private final LongSupplier clockMs = () -> System.nanoTime() / NS_PER_MS;
+  private @Nullable Membership membership;
+  private volatile boolean leaving;
   private final LogJournal journal;
   private final Coordinator coordinator;
   private final PeerClient peerClient;
@@ -81,12 +105,8 @@
     this.executor = Executors.newSingleThreadScheduledExecutor(Daemon::daemonThread);
     DaemonSettings.Times times = settings.times();
     this.platform = new PlatformHttp(times.callTimeoutMs());
-    this.hosts =
-        new HostListPoller(
-            new HttpHostListAdapter(platform, settings.hostsAddress()),
-            settings.domain(),
-            times.callTimeoutMs());
-    LongSupplier clockMs = () -> System.nanoTime() / NS_PER_MS;
+    this.hostList = new HttpHostListAdapter(platform, settings.hostsAddress());
+    this.neighbours = new Neighbours(settings.hostId(), settings.domain());
     StreamContext streams =
         new StreamContext(
             new HttpLogAdapter(platform, settings.logAddress()), executor, clockMs, metrics);
@@ -101,13 +121,17 @@
             streams,
             budget,
             System::currentTimeMillis);
+    this.config =
+        new ConfigService(
+            streams, System::currentTimeMillis, budget, ConfigServiceSettings.DEFAULT);
+    this.audit = new AuditTrail(streams, incarnation, budget, MAX_AUDIT_ENTRIES);
     this.coordinator =
         new Coordinator(
             coordinatorSettings(),
             new HttpWorkerAdapter(platform),
-            hosts::workers,
-            new Alone(),
-            () -> new FirstFitScheduler(random.split()),
+            neighbours::workers,
+            neighbours,
+            policies(random),
             journal,
             new JobRecordText(),
             clockMs,
@@ -115,10 +139,13 @@
     CellHandler handler = new CellHandler(coordinator);
     PeerSettings peerSettings = PeerSettings.defaults(settings.domain(), settings.region());
     this.peerClient = new PeerClient(peerSettings, metrics);
-    this.peerServer = new PeerServer(settings.peerBind(), handler, peerSettings, metrics);
     Router router =
         new Router(
-            settings.domain(), new Alone(), handler, peerClient::call, clockMs, random.split());
+            settings.domain(), neighbours, handler, peerClient::call, clockMs, random.split());
+    PeerRequests requests =
+        new PeerRequests(
+            settings.domain(), this::status, this::heard, config, handler, neighbours, router);
+    this.peerServer = new PeerServer(settings.peerBind(), requests, peerSettings, metrics);
     JobService jobs = new JobService(settings.hostId(), incarnation, settings.domain(), router);
     this.http =
         HttpInterfaces.of(
@@ -126,7 +153,62 @@
             settings.domain(),
             jobs,
             router,
-            new HttpInterfaces.Views(this::cell, Map::of, () -> serving));
+            new HttpInterfaces.ConfigParts(
+                config, new AuditedPublisher(config, audit, System::currentTimeMillis), audit),
+            new HttpInterfaces.Views(
+                this::cell, () -> MetricsView.of(metrics), () -> serving && config.ready()));
+  }
+
+  private Coordinator.Policies policies(SplittableRandom random) {
+    boolean plain = settings.scheduler() == SchedulerKind.FIRST_FIT;
+    Supplier<PolicySettings> inForce =
+        () -> PolicyFromConfig.of(config.current().config(), settings.domain());
+    Supplier<CellScheduler> scheduler =
+        () ->
+            plain
+                ? new FirstFitScheduler(random.split())
+                : new PolicyScheduler(inForce.get(), random.split());
+    return new Coordinator.Policies(scheduler, inForce, () -> config.current().config().workers());
+  }
+
+  private void startMembership() {
+    DaemonSettings.Times times = settings.times();
+    long pausedAfterMs = Math.max(MIN_PAUSED_AFTER_MS, HEARTBEATS_MISSED * times.statusMs());
+    MembershipSettings who =
+        new MembershipSettings(
+            settings.hostId(),
+            settings.domain(),
+            settings.region(),
+            peerServer.address(),
+            settings.seedPeers(),
+            times.hostListPollMs(),
+            times.statusMs(),
+            REMOTE_STATUS_FACTOR * times.statusMs(),
+            times.callTimeoutMs(),
+            pausedAfterMs,
+            DEAD_FACTOR * pausedAfterMs);
+    Membership started = new Membership(who, hostList, peerClient::call, this::status, clockMs);
+    membership = started;
+    neighbours.follow(started);
+    started.start();
+  }
+
+  private Status status() {
+    return new Status(
+        settings.hostId(),
+        incarnation,
+        settings.domain(),
+        coordinator.coordinating(),
+        coordinator.workersHeld(),
+        config.status().appliedOffset(),
+        leaving);
+  }
+
+  private void heard(Status status) {
+    Membership known = membership;
+    if (known != null) {
+      known.heard(status);
+    }
   }
 
   private static Thread daemonThread(Runnable task) {
@@ -157,10 +239,14 @@
    */
   public void start() throws IOException, PlatformException {
     platform.start();
-    hosts.start(executor, settings.times().hostListPollMs());
     peerClient.start();
     peerServer.start();
+    startMembership();
+    config.start();
+    audit.start();
     journal.start();
+    long statusMs = settings.times().statusMs();
+    new ConfigExchange(config, neighbours, peerClient::call).start(executor, statusMs);
     coordinator.start();
     http.start();
     serving = true;
@@ -173,13 +259,19 @@
   public void stop() {
     logger.atInfo().log("daemon: Host %s stops.", settings.hostId());
     serving = false;
+    leaving = true;
     http.refuseConnections();
     coordinator.stop();
     http.finishCalls(settings.times().stopGraceMs());
     http.stop();
     peerServer.stop();
+    if (membership != null) {
+      membership.stop();
+    }
     peerClient.stop();
     journal.stop();
+    config.stop();
+    audit.stop();
     platform.stop();
     executor.shutdownNow();
     logger.atInfo().log("daemon: Host %s has stopped.", settings.hostId());
@@ -208,35 +300,17 @@
     view.put("hostId", settings.hostId());
     view.put("domain", settings.domain());
     view.put("coordinator", coordinator.coordinating());
+    String coordinatorId =
+        coordinator.coordinating()
+            ? settings.hostId()
+            : neighbours.coordinator().map(HostEntry::hostId).orElse("");
+    view.put("coordinatorId", coordinatorId);
     view.put("workersOwned", coordinator.workersHeld());
+    view.put("workersKnown", neighbours.workers().size());
+    view.put("jobsOpen", coordinator.openJobs());
+    view.put("logState", EnumNames.textOf(journal.status().state()));
+    view.put("configVersion", config.current().config().version());
+    view.put("peersLive", neighbours.livePeers().stream().map(HostEntry::hostId).toList());
     return view;
   }
-
-  /** Knows no other host. */
-  private static final class Alone implements Directory, Contenders {
-    @Override
-    public Optional<String> coordinatorAddress() {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<String> entryAddressIn(String domain) {
-      return Optional.empty();
-    }
-
-    @Override
-    public boolean isNeighbour(String hostId) {
-      return false;
-    }
-
-    @Override
-    public boolean coordinatorAlive() {
-      return false;
-    }
-
-    @Override
-    public int rank() {
-      return 0;
-    }
-  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/PolicyFromConfig.java
@@ -0,0 +1,66 @@
+package org.hickorymoor.daemon;
+
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.hickorymoor.domain.config.ClusterConfig;
+import org.hickorymoor.domain.config.DomainConfig;
+import org.hickorymoor.domain.config.PolicyWeights;
+import org.hickorymoor.domain.config.TeamConfig;
+import org.hickorymoor.domain.job.JobClass;
+import org.hickorymoor.domain.policy.PolicySettings;
+import org.hickorymoor.domain.policy.TeamQuota;
+
+/** Turns the configuration in force into the settings of the scheduling policy. */
+final class PolicyFromConfig {
+
+  private static final double PERCENT = 100;
+
+  private PolicyFromConfig() {}
+
+  static PolicySettings of(ClusterConfig config, String domain) {
+    PolicySettings usual = PolicySettings.DEFAULT;
+    PolicyWeights weights = config.weights();
+    double sum = weights.sum() > 0 ? weights.sum() : 1;
+    return new PolicySettings(
+        weights.waiting() / sum,
+        weights.packing() / sum,
+        weights.control() / sum,
+        quotas(config),
+        quota(config.defaultTeam()),
+        usual.maxQueuedTasks(),
+        config.jobClass(JobClass.BATCH).maxQueuedTasksPerTeam(),
+        usual.maxAttempts(),
+        usual.retryBaseDelayMs(),
+        usual.retryMaxDelayMs(),
+        usual.initialCapacityShare(),
+        usual.capacityMargin(),
+        usual.reservationAfterMs(),
+        usual.reservationMs(),
+        headroom(config, domain),
+        usual.preemptAfterMs(),
+        usual.throttlePercent(),
+        usual.checkpointAfterMs(),
+        usual.suspectAfterFailures(),
+        usual.probeDelayMs(),
+        usual.giveUpAfterWorkers(),
+        usual.giveUpNeverFits(),
+        usual.acceleratorSkips(),
+        usual.maxStartsPerDecision());
+  }
+
+  private static double headroom(ClusterConfig config, String domain) {
+    DomainConfig own = config.domains().get(domain);
+    int percent =
+        own == null ? DomainConfig.DEFAULT_URGENT_HEADROOM_PERCENT : own.urgentHeadroomPercent();
+    return percent / PERCENT;
+  }
+
+  private static Map<String, TeamQuota> quotas(ClusterConfig config) {
+    return config.teams().entrySet().stream()
+        .collect(Collectors.toMap(Map.Entry::getKey, team -> quota(team.getValue())));
+  }
+
+  private static TeamQuota quota(TeamConfig team) {
+    return new TeamQuota(team.weight(), team.quota());
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -14,6 +14,7 @@
 import org.hickorymoor.daemon.stream.StreamContext;
 import org.hickorymoor.daemon.stream.StreamGap;
 import org.hickorymoor.daemon.stream.StreamListener;
+import org.hickorymoor.domain.config.AcceptedPublication;
 import org.hickorymoor.domain.config.ConfigRecord;
 import org.hickorymoor.domain.config.ConfigRecord.Publication;
 import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
@@ -158,6 +159,15 @@
     store.addListener(listener);
   }
 
+  /**
+   * Returns the newest publications that came into force.
+   *
+   * @return oldest first
+   */
+  public List<AcceptedPublication> history() {
+    return store.read(ConfigState::history);
+  }
+
   /**
    * Publishes a configuration.
    *
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -15,6 +15,7 @@
 import org.hickorymoor.domain.ledger.LedgerJob;
 import org.hickorymoor.domain.policy.Admission;
 import org.hickorymoor.domain.policy.Decision;
+import org.hickorymoor.domain.policy.PolicySettings;
 import org.hickorymoor.domain.policy.WorkerProfile;
 import org.hickorymoor.protocol.platform.SyncReply;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +36,7 @@
   private final TaskRunner runner;
   private final Object lock = new Object();
   private final long startedMs;
+  private @Nullable PolicySettings policy;
   private boolean settled;
   private boolean restored;
   private boolean closed;
@@ -257,6 +259,7 @@
   private void pump() {
     List<Runnable> calls;
     synchronized (lock) {
+      followPolicy();
       if (settled && !closed && context.hasAuthority()) {
         for (Decision decision : context.scheduler().decide(context.clockMs().getAsLong())) {
           runner.carryOut(decision);
@@ -267,6 +270,14 @@
     calls.forEach(Runnable::run);
   }
 
+  private void followPolicy() {
+    PolicySettings inForce = context.policy().get();
+    if (!inForce.equals(policy)) {
+      policy = inForce;
+      context.scheduler().reconfigure(inForce);
+    }
+  }
+
   private CompletableFuture<JobAnswer> await(Job job, long waitMs) {
     boolean over = job.ended() || waitMs <= 0 || job.state() == JobState.IN_DOUBT;
     if (over) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellContext.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellContext.java
@@ -2,7 +2,9 @@
 
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickorymoor.domain.policy.CellScheduler;
+import org.hickorymoor.domain.policy.PolicySettings;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,6 +16,7 @@
  * @param records writes and reads the record that a task carries as a label
  * @param clockMs monotonic time
  * @param authorityUntilMs end of the authority over the failure domain
+ * @param policy settings of the policy in force
  * @param agents finds the agent of a worker, or null
  */
 record CellContext(
@@ -23,6 +26,7 @@
     RecordText records,
     LongSupplier clockMs,
     LongSupplier authorityUntilMs,
+    Supplier<PolicySettings> policy,
     Function<String, @Nullable WorkerAgent> agents) {
 
   boolean hasAuthority() {
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellHandler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellHandler.java
@@ -71,22 +71,10 @@
     if (request instanceof PeerRequest.ListWorkers) {
       return new PeerReply.WorkerListReply(workers(cell));
     }
-    if (request instanceof PeerRequest.DrainWorker drain) {
-      return drain(drain);
-    }
     return new PeerReply.Refused(
         PeerErrorType.BAD_REQUEST, "a coordinator does not answer " + request);
   }
 
-  private PeerReply drain(PeerRequest.DrainWorker drain) {
-    WorkerTable workers = coordinator.workers();
-    if (workers.agent(drain.workerId()) == null) {
-      return new PeerReply.Refused(PeerErrorType.BAD_REQUEST, "unknown worker " + drain.workerId());
-    }
-    workers.drain(drain.workerId(), drain.drain());
-    return new PeerReply.Done();
-  }
-
   private List<WorkerStatus> workers(Cell cell) {
     return coordinator.workers().agents().stream().map(agent -> status(cell, agent)).toList();
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
@@ -11,8 +11,10 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.hickorymoor.daemon.port.WorkerPort;
+import org.hickorymoor.domain.config.WorkersConfig;
 import org.hickorymoor.domain.lease.DomainAuthority;
 import org.hickorymoor.domain.policy.CellScheduler;
+import org.hickorymoor.domain.policy.PolicySettings;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.SyncReply;
 import org.jspecify.annotations.Nullable;
@@ -37,7 +39,7 @@
   private final CoordinatorSettings settings;
   private final Supplier<List<HostEntry>> workerHosts;
   private final Contenders contenders;
-  private final Supplier<CellScheduler> schedulers;
+  private final Policies policies;
   private final JobJournal journal;
   private final RecordText records;
   private final LongSupplier clockMs;
@@ -52,6 +54,18 @@
   private long termBegunMs;
   private boolean stopping;
 
+  /**
+   * How to decide.
+   *
+   * @param scheduler makes the scheduler of a term
+   * @param settings settings of the policy in force
+   * @param workers how workers are used
+   */
+  public record Policies(
+      Supplier<CellScheduler> scheduler,
+      Supplier<PolicySettings> settings,
+      Supplier<WorkersConfig> workers) {}
+
   /**
    * Makes a coordinator that is not started.
    *
@@ -59,7 +73,7 @@
    * @param port talks to workers
    * @param workerHosts the workers of the failure domain, as the platform lists them
    * @param contenders the other entry hosts
-   * @param schedulers makes the scheduler of a term
+   * @param policies makes the scheduler of a term, and says what is in force
    * @param journal keeps what must last
    * @param records writes and reads the record that tasks carry
    * @param clockMs monotonic time
@@ -70,7 +84,7 @@
       WorkerPort port,
       Supplier<List<HostEntry>> workerHosts,
       Contenders contenders,
-      Supplier<CellScheduler> schedulers,
+      Policies policies,
       JobJournal journal,
       RecordText records,
       LongSupplier clockMs,
@@ -78,13 +92,14 @@
     this.settings = settings;
     this.workerHosts = workerHosts;
     this.contenders = contenders;
-    this.schedulers = schedulers;
+    this.policies = policies;
     this.journal = journal;
     this.records = records;
     this.clockMs = clockMs;
     this.random = random;
     this.jitter = new Jitter(random);
-    this.workers = new WorkerTable(settings, port, clockMs, jitter, this::synced);
+    this.workers =
+        new WorkerTable(settings, port, policies.workers(), clockMs, jitter, this::synced);
     this.executor =
         Executors.newSingleThreadScheduledExecutor(
             task -> {
@@ -151,6 +166,15 @@
     return (int) workers.agents().stream().filter(WorkerAgent::held).count();
   }
 
+  /**
+   * Returns how many jobs of this host's term have not ended.
+   *
+   * @return number of jobs, 0 if this host is not coordinator
+   */
+  public int openJobs() {
+    return cell().map(Cell::openJobs).orElse(0);
+  }
+
   WorkerTable workers() {
     return workers;
   }
@@ -248,11 +272,12 @@
     CellContext context =
         new CellContext(
             settings,
-            schedulers.get(),
+            policies.scheduler().get(),
             journal,
             records,
             clockMs,
             authorityUntilMs::get,
+            policies.settings(),
             workers::agent);
     String tag = Integer.toString(random.nextInt(TAG_BOUND), TAG_RADIX);
     Cell cell = new Cell(context, tag);
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerTable.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerTable.java
@@ -7,7 +7,10 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.WorkerPort;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.config.WorkersConfig;
 import org.hickorymoor.domain.policy.WorkerProfile;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostState;
@@ -33,20 +36,22 @@
 
   private final CoordinatorSettings settings;
   private final WorkerPort port;
+  private final Supplier<WorkersConfig> config;
   private final LongSupplier clockMs;
   private final Jitter jitter;
   private final WorkerAgent.Listener listener;
   private final Map<String, Row> rows = new ConcurrentHashMap<>();
-  private final Set<String> drained = ConcurrentHashMap.newKeySet();
 
   WorkerTable(
       CoordinatorSettings settings,
       WorkerPort port,
+      Supplier<WorkersConfig> config,
       LongSupplier clockMs,
       Jitter jitter,
       WorkerAgent.Listener listener) {
     this.settings = settings;
     this.port = port;
+    this.config = config;
     this.clockMs = clockMs;
     this.jitter = jitter;
     this.listener = listener;
@@ -92,14 +97,6 @@
     }
   }
 
-  void drain(String workerId, boolean drain) {
-    if (drain) {
-      drained.add(workerId);
-    } else {
-      drained.remove(workerId);
-    }
-  }
-
   List<WorkerAgent> agents() {
     return rows.values().stream().map(row -> row.agent).toList();
   }
@@ -120,7 +117,9 @@
     if (row == null || info == null) {
       return null;
     }
-    boolean leaving = row.leaving || drained.contains(workerId);
-    return new WorkerProfile(workerId, info.rack(), info.capacity(), leaving);
+    WorkersConfig inForce = config.get();
+    boolean leaving = row.leaving || inForce.drained().contains(workerId);
+    Resources usable = inForce.limit(workerId).of(info.capacity());
+    return new WorkerProfile(workerId, info.rack(), usable, leaving);
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/CellResource.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/CellResource.java
@@ -1,6 +1,5 @@
 package org.hickorymoor.daemon.http;
 
-import java.util.List;
 import java.util.Map;
 import org.hickorymoor.daemon.entry.Routed;
 import org.hickorymoor.daemon.entry.Router;
@@ -12,7 +11,6 @@
 final class CellResource implements HttpInterface.Resource {
 
   private static final long ASK_WITHIN_MS = 5_000;
-  private static final int DRAIN_SEGMENTS = 4;
 
   private final String domain;
   private final Router router;
@@ -37,7 +35,7 @@
               .route(domain, new PeerRequest.ListWorkers(), ASK_WITHIN_MS)
               .thenAccept(routed -> reply(call, routed));
       default -> {
-        return drain(call);
+        return false;
       }
     }
     return true;
@@ -48,32 +46,10 @@
     call.text(ready ? HttpCall.OK : HttpCall.UNAVAILABLE, ready ? "ready\n" : "not ready\n");
   }
 
-  private boolean drain(HttpCall call) {
-    List<String> path = call.path();
-    boolean undo = call.method().equals("DELETE");
-    boolean matches =
-        path.size() == DRAIN_SEGMENTS
-            && path.get(0).equals("v1")
-            && path.get(1).equals("workers")
-            && path.get(3).equals("drain")
-            && (undo || call.method().equals("PUT"));
-    if (matches) {
-      router
-          .route(
-              domain, new PeerRequest.DrainWorker(path.get(2), !undo, call.actor()), ASK_WITHIN_MS)
-          .thenAccept(routed -> reply(call, routed));
-    }
-    return matches;
-  }
-
   private static void reply(HttpCall call, Routed routed) {
     PeerReply reply = routed.reply();
     if (reply instanceof PeerReply.WorkerListReply list) {
       call.reply(HttpCall.OK, Map.of("workers", list.workers()));
-    } else if (reply instanceof PeerReply.Done) {
-      call.reply(HttpCall.OK, Map.of("done", true));
-    } else if (reply instanceof PeerReply.Refused refused) {
-      call.error(HttpCall.NOT_FOUND, ErrorTypes.UNKNOWN_WORKER, refused.message());
     } else {
       String message = "no coordinator of the failure domain could be reached; try again";
       call.error(HttpCall.UNAVAILABLE, ErrorTypes.UNAVAILABLE, message);
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/ConfigResource.java
@@ -0,0 +1,156 @@
+package org.hickorymoor.daemon.http;
+
+import com.google.gson.JsonParser;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import org.hickorymoor.daemon.audit.AuditEntry;
+import org.hickorymoor.daemon.audit.AuditFilter;
+import org.hickorymoor.daemon.audit.AuditTrail;
+import org.hickorymoor.daemon.config.AuditedPublisher;
+import org.hickorymoor.daemon.config.ConfigService;
+import org.hickorymoor.daemon.config.ConfigView;
+import org.hickorymoor.daemon.config.PublishResult;
+import org.hickorymoor.domain.config.AcceptedPublication;
+import org.hickorymoor.domain.config.ClusterConfig;
+import org.hickorymoor.protocol.caller.ErrorBody;
+import org.hickorymoor.protocol.caller.ErrorTypes;
+import org.hickorymoor.protocol.config.ConfigCodec;
+import org.hickorymoor.protocol.json.InvalidRecordException;
+import org.hickorymoor.protocol.json.Problem;
+
+/** Serves {@code /v1/config}, {@code /v1/audit} and the draining of workers. Thread-safe. */
+final class ConfigResource implements HttpInterface.Resource {
+
+  private static final int DEFAULT_LIMIT = 100;
+  private static final int MAX_LIMIT = 1_000;
+  private static final int DRAIN_SEGMENTS = 4;
+  private static final int DRAIN_TRIES = 5;
+
+  private final ConfigService config;
+  private final AuditedPublisher publisher;
+  private final AuditTrail audit;
+
+  ConfigResource(ConfigService config, AuditedPublisher publisher, AuditTrail audit) {
+    this.config = config;
+    this.publisher = publisher;
+    this.audit = audit;
+  }
+
+  @Override
+  public boolean handle(HttpCall call) throws BadCallException {
+    String target = call.method() + " /" + String.join("/", call.path());
+    switch (target) {
+      case "GET /v1/config" -> current(call);
+      case "POST /v1/config" -> publish(call);
+      case "GET /v1/config/history" -> history(call);
+      case "GET /v1/audit" -> audit(call);
+      default -> {
+        return drain(call);
+      }
+    }
+    return true;
+  }
+
+  private void current(HttpCall call) {
+    ConfigView view = config.current();
+    call.reply(
+        HttpCall.OK,
+        Map.of(
+            "version",
+            view.config().version(),
+            "offset",
+            view.offset(),
+            "record",
+            JsonParser.parseString(ConfigCodec.toJson(view.config()))));
+  }
+
+  private void publish(HttpCall call) throws BadCallException {
+    long version = config.current().config().version();
+    long expected = call.number("expectedVersion", version, Long.MAX_VALUE);
+    publisher
+        .publish(call.body(), expected, call.actor(), UUID.randomUUID().toString())
+        .thenAccept(result -> replyPublished(call, expected, result));
+  }
+
+  private static void replyPublished(HttpCall call, long expected, PublishResult result) {
+    if (result instanceof PublishResult.Accepted accepted) {
+      call.reply(HttpCall.OK, Map.of("version", accepted.version(), "offset", accepted.offset()));
+    } else if (result instanceof PublishResult.Conflict conflict) {
+      conflict(call, expected, conflict);
+    } else if (result instanceof PublishResult.Invalid invalid) {
+      InvalidRecordException refusal = new InvalidRecordException(invalid.problems());
+      call.reply(HttpCall.BAD_REQUEST, ErrorBody.of(ErrorTypes.INVALID_RECORD, refusal));
+    } else if (result instanceof PublishResult.NotPublished refused) {
+      String message = "the record was not accepted: " + refused.reason() + "; try again";
+      call.error(HttpCall.UNAVAILABLE, ErrorTypes.UNAVAILABLE, message);
+    } else {
+      String message = "it is not known whether the record was accepted; see the history";
+      call.error(HttpCall.UNAVAILABLE, ErrorTypes.UNAVAILABLE, message);
+    }
+  }
+
+  private static void conflict(HttpCall call, long expected, PublishResult.Conflict conflict) {
+    Problem problem =
+        new Problem(
+            "expectedVersion", String.valueOf(conflict.currentVersion()), String.valueOf(expected));
+    AcceptedPublication winner = conflict.winner();
+    String by = winner == null ? "" : " by " + winner.who();
+    String message =
+        "version " + conflict.currentVersion() + by + " came first; read it and publish again";
+    call.reply(
+        HttpCall.CONFLICT,
+        new ErrorBody(
+            new ErrorBody.Detail(ErrorTypes.VERSION_CONFLICT, message, List.of(problem))));
+  }
+
+  private void history(HttpCall call) throws BadCallException {
+    int limit = (int) call.number("limit", DEFAULT_LIMIT, MAX_LIMIT);
+    List<AcceptedPublication> newestFirst =
+        config.history().stream()
+            .sorted((left, right) -> Long.compare(right.version(), left.version()))
+            .limit(limit)
+            .toList();
+    call.reply(HttpCall.OK, Map.of("versions", newestFirst));
+  }
+
+  private void audit(HttpCall call) throws BadCallException {
+    int limit = (int) Math.max(1, call.number("limit", DEFAULT_LIMIT, MAX_LIMIT));
+    AuditFilter filter =
+        new AuditFilter(
+            call.query("who"), call.query("what"), call.query("target"), Long.MIN_VALUE, limit);
+    List<AuditEntry> entries = audit.read(filter);
+    call.reply(HttpCall.OK, Map.of("entries", entries));
+  }
+
+  private boolean drain(HttpCall call) {
+    List<String> path = call.path();
+    boolean undo = call.method().equals("DELETE");
+    boolean matches =
+        path.size() == DRAIN_SEGMENTS
+            && path.get(0).equals("v1")
+            && path.get(1).equals("workers")
+            && path.get(3).equals("drain")
+            && (undo || call.method().equals("PUT"));
+    if (matches) {
+      publishDrain(call, path.get(2), !undo, DRAIN_TRIES);
+    }
+    return matches;
+  }
+
+  /** Publishes the configuration in force with one worker drained, again if another came first. */
+  private void publishDrain(HttpCall call, String workerId, boolean drained, int triesLeft) {
+    ClusterConfig inForce = config.current().config();
+    String body = ConfigCodec.toJson(inForce.withDrained(workerId, drained));
+    publisher
+        .publish(body, inForce.version(), call.actor(), UUID.randomUUID().toString())
+        .thenAccept(
+            result -> {
+              if (result instanceof PublishResult.Conflict && triesLeft > 1) {
+                publishDrain(call, workerId, drained, triesLeft - 1);
+              } else {
+                replyPublished(call, inForce.version(), result);
+              }
+            });
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterfaces.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterfaces.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.hickorymoor.daemon.audit.AuditTrail;
+import org.hickorymoor.daemon.config.AuditedPublisher;
+import org.hickorymoor.daemon.config.ConfigService;
 import org.hickorymoor.daemon.entry.JobService;
 import org.hickorymoor.daemon.entry.Router;
 
@@ -23,6 +26,15 @@
       Supplier<Map<String, Object>> metrics,
       Supplier<Boolean> ready) {}
 
+  /**
+   * What is in force and how to change it.
+   *
+   * @param service knows the configuration
+   * @param publisher changes it
+   * @param audit keeps who changed what
+   */
+  public record ConfigParts(ConfigService service, AuditedPublisher publisher, AuditTrail audit) {}
+
   /**
    * Makes the interface of a daemon, not started.
    *
@@ -30,17 +42,21 @@
    * @param domain failure domain of this host
    * @param jobs submits jobs
    * @param router brings other requests to coordinators
+   * @param config what is in force and how to change it
    * @param views what the process says of itself
    * @return the interface
    */
   public static HttpInterface of(
-      String bind, String domain, JobService jobs, Router router, Views views) {
+      String bind, String domain, JobService jobs, Router router, ConfigParts config, Views views) {
     int colon = bind.lastIndexOf(':');
     String host = bind.substring(0, colon);
     int port = Integer.parseInt(bind.substring(colon + 1));
     return new HttpInterface(
         host,
         port,
-        List.of(new JobResource(domain, jobs, router), new CellResource(domain, router, views)));
+        List.of(
+            new JobResource(domain, jobs, router),
+            new CellResource(domain, router, views),
+            new ConfigResource(config.service(), config.publisher(), config.audit())));
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/config/ClusterConfig.java
+++ b/domain/src/main/java/org/hickorymoor/domain/config/ClusterConfig.java
@@ -4,7 +4,9 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.hickorymoor.domain.job.JobClass;
 
 /**
@@ -111,6 +113,33 @@
         logRetentionMs);
   }
 
+  /**
+   * Returns a copy in which one worker is drained, or not.
+   *
+   * @param workerId the worker
+   * @param drained whether it gets no new work
+   * @return the copy, of the same version
+   */
+  public ClusterConfig withDrained(String workerId, boolean drained) {
+    Set<String> all = new HashSet<>(workers.drained());
+    if (drained) {
+      all.add(workerId);
+    } else {
+      all.remove(workerId);
+    }
+    WorkersConfig changed = new WorkersConfig(workers.defaultLimit(), workers.limits(), all);
+    return new ClusterConfig(
+        version,
+        teams,
+        defaultTeam,
+        classes,
+        weights,
+        domains,
+        changed,
+        dedupeWindowMs,
+        logRetentionMs);
+  }
+
   private static Map<JobClass, ClassConfig> withDefaults(Map<JobClass, ClassConfig> given) {
     EnumMap<JobClass, ClassConfig> all = new EnumMap<>(JobClass.class);
     for (JobClass jobClass : JobClass.values()) {
--- a/domain/src/main/java/org/hickorymoor/domain/policy/CellScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/CellScheduler.java
@@ -15,6 +15,13 @@
  */
 public interface CellScheduler {
 
+  /**
+   * Takes other settings over, from the next decision on.
+   *
+   * @param settings the settings
+   */
+  default void reconfigure(PolicySettings settings) {}
+
   /**
    * Says whether a job would be taken on now.
    *
--- a/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
@@ -77,6 +77,7 @@
    *
    * @param settings the new settings
    */
+  @Override
   public void reconfigure(PolicySettings settings) {
     cell.settings = settings;
     queue.setSettings(settings);
--- a/process-tests/src/test/java/org/hickorymoor/process/Cell.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -4,10 +4,14 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.awaitility.Awaitility;
 import org.hickorymoor.daemon.HickorymoordMain;
 import org.hickorymoor.platform.PlatformMain;
 import org.hickorymoor.protocol.platform.HostEntry;
@@ -17,6 +21,16 @@
 /** A cell of real processes: log, host list, workers and daemons, each a process of its own. */
 final class Cell implements AutoCloseable {
 
+  /** Options for daemons whose leases are short, so that failovers take seconds. */
+  static final String[] SHORT_LEASES = {
+    "--hold-lease-ms", "2000",
+    "--hold-margin-ms", "200",
+    "--sync-wait-ms", "300",
+    "--call-timeout-ms", "500",
+    "--task-lease-ms", "6000"
+  };
+
+  private static final Duration LIMIT = Duration.ofSeconds(60);
   private static final String REGION = "north";
   private static final int READY_ADDRESS = 2;
   private static final int READY_PEER_ADDRESS = 4;
@@ -120,6 +134,30 @@
     return http.send("POST", url(hostId, "/v1/jobs?waitMs=" + waitMs), record);
   }
 
+  CompletableFuture<Http.Reply> submitAsync(String hostId, String record, long waitMs) {
+    return http.sendAsync("POST", url(hostId, "/v1/jobs?waitMs=" + waitMs), record);
+  }
+
+  /** Waits until a job of team {@code team} is in a state. */
+  void awaitState(String hostId, String key, String state) {
+    Awaitility.await()
+        .atMost(LIMIT)
+        .until(() -> get(hostId, "/v1/jobs/team/" + key).state().equals(state));
+  }
+
+  /** Waits until one of the daemons coordinates, and returns it. */
+  String awaitCoordinator(List<String> hostIds) {
+    return Awaitility.await()
+        .atMost(LIMIT)
+        .until(() -> hostIds.stream().filter(this::coordinates).findFirst(), Optional::isPresent)
+        .orElseThrow();
+  }
+
+  /** Sets faults of the log. */
+  void logFaults(String json) {
+    http.send("POST", "http://" + logAddress + "/v1/faults", json);
+  }
+
   Http.Reply get(String hostId, String path) {
     return http.send("GET", url(hostId, path), "");
   }
