Learn sizes from every report, by kind

Cause: sizes were learned only from workers where nothing started or ended within the lag of a report, which a busy cell never has, and the ratio of a whole worker was blamed on each kind alike.

Change: what ended lately is remembered, so that a report is compared with what ran at its time; the difference is shared out by squares of declared sizes. What a late report still counts of ended work is taken off.

--- a/bench/src/main/java/org/hickorymoor/bench/policy/Replay.java
+++ b/bench/src/main/java/org/hickorymoor/bench/policy/Replay.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobKind;
 import org.hickorymoor.domain.job.TaskId;
 import org.hickorymoor.domain.policy.CellScheduler;
@@ -34,6 +35,8 @@
 
   private record Running(Arrival arrival, String workerId, long startedMs) {}
 
+  private record TrueUse(double cpuMillis, double memoryMb, int connections) {}
+
   private record End(long atMs, TaskId task, TaskEnd.Outcome outcome) {}
 
   private final CellScheduler scheduler;
@@ -141,19 +144,31 @@
   }
 
   private void report(WorkerProfile worker) {
+    TrueUse now = trueUse(worker, nowMs);
+    boolean overused =
+        now.cpuMillis > worker.capacity().cpuMillis()
+            || now.memoryMb > worker.capacity().memoryMb();
+    result.sampleOveruse(overused);
+    TrueUse old = trueUse(worker, nowMs - REPORT_AGE_MS);
+    UsageReport report =
+        new UsageReport((int) old.cpuMillis, (int) old.memoryMb, old.connections, REPORT_AGE_MS);
+    scheduler.usageReported(worker.workerId(), report, nowMs);
+  }
+
+  /** Returns what the tasks that run now and had started by some time use. */
+  private TrueUse trueUse(WorkerProfile worker, long startedByMs) {
     double cpuMillis = 0;
     double memoryMb = 0;
     int connections = 0;
     for (Running task : running.values()) {
-      if (task.workerId.equals(worker.workerId()) && task.startedMs <= nowMs - REPORT_AGE_MS) {
-        cpuMillis += task.arrival.spec().demand().cpuMillis() * task.arrival.useFactor();
-        memoryMb += task.arrival.spec().demand().memoryMb() * task.arrival.useFactor();
-        connections += task.arrival.spec().demand().connections();
+      if (task.workerId.equals(worker.workerId()) && task.startedMs <= startedByMs) {
+        Resources demand = task.arrival.spec().demand();
+        cpuMillis += demand.cpuMillis() * task.arrival.useFactor();
+        memoryMb += demand.memoryMb() * task.arrival.useFactor();
+        connections += demand.connections();
       }
     }
-    UsageReport report =
-        new UsageReport((int) cpuMillis, (int) memoryMb, connections, REPORT_AGE_MS);
-    scheduler.usageReported(worker.workerId(), report, nowMs);
+    return new TrueUse(cpuMillis, memoryMb, connections);
   }
 
   private void sample() {
--- a/bench/src/main/java/org/hickorymoor/bench/policy/ReplayResult.java
+++ b/bench/src/main/java/org/hickorymoor/bench/policy/ReplayResult.java
@@ -29,6 +29,8 @@
   private long usedShareSamples;
   private double touchedSum;
   private long touchedSamples;
+  private long overusedSamples;
+  private long workerSamples;
 
   ReplayResult() {
     for (JobClass jobClass : JobClass.values()) {
@@ -52,6 +54,16 @@
     touchedSamples++;
   }
 
+  /** Counts whether the true use of a worker exceeds what it holds. */
+  void sampleOveruse(boolean overused) {
+    workerSamples++;
+    overusedSamples += overused ? 1 : 0;
+  }
+
+  double overusedShare() {
+    return workerSamples == 0 ? 0 : (double) overusedSamples / workerSamples;
+  }
+
   double usedShareWhileWaiting() {
     return usedShareSamples == 0 ? 0 : usedShareSum / usedShareSamples;
   }
--- a/bench/src/main/java/org/hickorymoor/bench/policy/Workload.java
+++ b/bench/src/main/java/org/hickorymoor/bench/policy/Workload.java
@@ -26,7 +26,7 @@
   private static final Resources TWO = new Resources(2, 2, 3_000, 6_144, 0);
   private static final Resources HALF_WORKER = new Resources(4, 4, 8_000, 16_384, 0);
   private static final Resources ACCELERATED = new Resources(2, 1, 2_000, 4_096, 1);
-  private static final double[] USE_FACTORS = {0.25, 0.5, 0.8, 1, 1};
+  private static final double[] USE_FACTORS = {0.25, 0.5, 1, 1.5, 2.5, 4};
 
   private final SplittableRandom random;
   private final long lengthMs;
--- a/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
@@ -66,6 +66,8 @@
   /**
    * Takes a report in; one that is older than the last is dropped.
    *
+   * @param attempts what runs on the worker now
+   * @param recentEnds what has ended on it lately
    * @param limit what the reported use has to stay within
    * @param wanted whether more work waits for this worker
    * @return false if the report was dropped
@@ -74,6 +76,7 @@
       UsageReport report,
       Resources limit,
       Collection<RunningAttempt> attempts,
+      Collection<RunningAttempt> recentEnds,
       boolean wanted,
       long nowMs) {
     long atMs = nowMs - report.ageMs();
@@ -83,14 +86,13 @@
     reportedAtMs = atMs;
     reported = new Resources(0, report.connections(), report.cpuMillis(), report.memoryMb(), 0);
     startedSince = Resources.NONE;
-    for (RunningAttempt attempt : attempts) {
-      started(attempt);
-    }
     if (!reported.fitsIn(limit)) {
       fall(FALL_ON_OVERUSE, nowMs);
     } else if (wanted) {
       rise(nowMs);
     }
+    attempts.forEach(this::started);
+    recentEnds.stream().filter(end -> inReport(end, atMs)).forEach(this::ended);
     return true;
   }
 
@@ -110,6 +112,11 @@
     }
   }
 
+  /** Tells whether an attempt that has ended ran at the time of a report. */
+  static boolean inReport(RunningAttempt ended, long atMs) {
+    return ended.startedMs < atMs && ended.endedMs >= atMs;
+  }
+
   private void fall(double factor, long nowMs) {
     share = Math.max(MIN_SHARE, share * factor);
     slowShare = 0;
--- a/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
@@ -140,7 +140,7 @@
     if (attempt == null) {
       return;
     }
-    attempt.worker.lastEndMs = nowMs;
+    attempt.worker.rememberEnd(attempt, nowMs);
     cell.gainedRoom.add(attempt.worker);
     queue.refund(attempt.job.team(), attempt.job.demand());
     preemption.ended(attempt);
@@ -159,7 +159,8 @@
     }
     Resources limit = Amounts.shareOf(worker.capacity(), 1 - cell.settings.capacityMargin());
     boolean fresh =
-        worker.learner.reported(report, limit, worker.attempts.values(), workWaits(), nowMs);
+        worker.learner.reported(
+            report, limit, worker.attempts.values(), worker.recentEnds, workWaits(), nowMs);
     if (fresh) {
       UsageAttribution.attribute(worker, report, nowMs, cell.sizes);
       worker.refresh();
--- a/domain/src/main/java/org/hickorymoor/domain/policy/RunningAttempt.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/RunningAttempt.java
@@ -19,6 +19,9 @@
   /** What is expected of it after what was learned; never less than declared. */
   final Resources expected;
 
+  /** When its end was told; 0 while it runs. */
+  long endedMs;
+
   /** What it really takes; less processor time than declared while throttled. */
   Resources effective;
 
--- a/domain/src/main/java/org/hickorymoor/domain/policy/SizeLearner.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/SizeLearner.java
@@ -10,8 +10,10 @@
   private static final int MAX_KINDS = 10_000;
   private static final int MIN_SAMPLES = 4;
   private static final double MOST = 0.75;
-  private static final double LARGE = 0.9;
-  private static final double MAX_RATIO = 4;
+  private static final double STEP = 0.5;
+  private static final double SAFETY = 1.1;
+  private static final double MIN_FACTOR = 0.1;
+  private static final double MAX_FACTOR = 8;
 
   private final Map<WorkKey, Kind> kinds =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -32,11 +34,35 @@
     }
   }
 
-  /** Takes real use over declared use in, for processors and memory. */
-  void used(WorkKey key, double cpuRatio, double memoryRatio) {
-    Kind kind = kind(key);
-    kind.cpuRatio.add(cpuRatio);
-    kind.memoryRatio.add(memoryRatio);
+  /**
+   * Takes what a worker used in. The difference from what was expected is shared out by the squares
+   * of the declared sizes, so that over many mixes of work each kind comes near its own size.
+   *
+   * @param declared declared sizes of all that ran, by kind
+   * @param cpuMillis processor time that it used together
+   * @param memoryMb memory that it used together
+   */
+  void used(Map<WorkKey, Resources> declared, int cpuMillis, int memoryMb) {
+    double cpuError = cpuMillis;
+    double cpuNorm = 0;
+    double memoryError = memoryMb;
+    double memoryNorm = 0;
+    for (Map.Entry<WorkKey, Resources> entry : declared.entrySet()) {
+      Kind kind = kind(entry.getKey());
+      double cpu = entry.getValue().cpuMillis();
+      double memory = entry.getValue().memoryMb();
+      cpuError -= cpu * kind.cpuFactor;
+      cpuNorm += cpu * cpu;
+      memoryError -= memory * kind.memoryFactor;
+      memoryNorm += memory * memory;
+    }
+    for (Map.Entry<WorkKey, Resources> entry : declared.entrySet()) {
+      Kind kind = kind(entry.getKey());
+      double cpuStep = Amounts.ratio(cpuError * entry.getValue().cpuMillis(), cpuNorm);
+      double memoryStep = Amounts.ratio(memoryError * entry.getValue().memoryMb(), memoryNorm);
+      kind.cpuFactor = clamp(kind.cpuFactor + STEP * cpuStep);
+      kind.memoryFactor = clamp(kind.memoryFactor + STEP * memoryStep);
+    }
   }
 
   /** Returns a run time over what most stay below, or 1 where too little is known. */
@@ -54,11 +80,11 @@
   /** Returns what a task is expected to use, never less than declared. */
   Resources expected(WorkKey key, Resources declared) {
     Kind kind = kinds.get(key);
-    if (kind == null || kind.cpuRatio.count() < MIN_SAMPLES) {
+    if (kind == null) {
       return declared;
     }
-    double cpu = Math.min(MAX_RATIO, Math.max(1, kind.cpuRatio.quantile(LARGE)));
-    double memory = Math.min(MAX_RATIO, Math.max(1, kind.memoryRatio.quantile(LARGE)));
+    double cpu = Math.max(1, kind.cpuFactor * SAFETY);
+    double memory = Math.max(1, kind.memoryFactor * SAFETY);
     return new Resources(
         declared.slots(),
         declared.connections(),
@@ -76,14 +102,18 @@
     return kind.succeededOnSeveral || !kind.succeededOn.equals(workerId);
   }
 
+  private static double clamp(double factor) {
+    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
+  }
+
   private Kind kind(WorkKey key) {
     return kinds.computeIfAbsent(key, unused -> new Kind());
   }
 
   private static final class Kind {
     final RecentSamples runMs = new RecentSamples();
-    final RecentSamples cpuRatio = new RecentSamples();
-    final RecentSamples memoryRatio = new RecentSamples();
+    double cpuFactor = 1;
+    double memoryFactor = 1;
     String succeededOn = "";
     boolean succeededOnSeveral;
   }
--- a/domain/src/main/java/org/hickorymoor/domain/policy/UsageAttribution.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/UsageAttribution.java
@@ -1,34 +1,33 @@
 package org.hickorymoor.domain.policy;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import org.hickorymoor.domain.Resources;
 
-/** Shares what a worker reports out among the work that ran on it. */
+/** Shares what a worker reports out among the work that ran on it at the time of the report. */
 final class UsageAttribution {
 
   private UsageAttribution() {}
 
-  /**
-   * Takes the ratio of real to declared use in for each kind of work on a worker. Reports that
-   * attempts started or ended after are of no use for that.
-   */
+  /** Learns the sizes of all that a report counts; throttled work says nothing of its size. */
   static void attribute(WorkerLoad worker, UsageReport report, long nowMs, SizeLearner sizes) {
     long atMs = nowMs - report.ageMs();
-    if (worker.lastEndMs >= atMs) {
-      return;
-    }
-    Resources declared = Resources.NONE;
-    Set<WorkKey> keys = new LinkedHashSet<>();
+    Map<WorkKey, Resources> declared = new HashMap<>();
+    boolean throttled = false;
     for (RunningAttempt attempt : worker.attempts.values()) {
-      if (attempt.startedMs >= atMs || attempt.everThrottled) {
-        return;
+      if (attempt.startedMs < atMs) {
+        declared.merge(attempt.job.workKey, attempt.job.demand(), Resources::plus);
+        throttled |= attempt.everThrottled;
+      }
+    }
+    for (RunningAttempt attempt : worker.recentEnds) {
+      if (CapacityLearner.inReport(attempt, atMs)) {
+        declared.merge(attempt.job.workKey, attempt.job.demand(), Resources::plus);
+        throttled |= attempt.everThrottled;
       }
-      declared = declared.plus(attempt.job.demand());
-      keys.add(attempt.job.workKey);
     }
-    double cpu = Amounts.ratio(report.cpuMillis(), declared.cpuMillis());
-    double memory = Amounts.ratio(report.memoryMb(), declared.memoryMb());
-    keys.forEach(key -> sizes.used(key, cpu, memory));
+    if (!throttled) {
+      sizes.used(declared, report.cpuMillis(), report.memoryMb());
+    }
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/policy/WorkerLoad.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/WorkerLoad.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.domain.policy;
 
+import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hickorymoor.domain.Resources;
@@ -9,6 +10,8 @@
 /** A worker and the attempts that count as in use on it. */
 final class WorkerLoad {
 
+  private static final long MAX_REPORT_AGE_MS = 10_000;
+
   final String workerId;
   final Map<TaskId, RunningAttempt> attempts = new LinkedHashMap<>();
   final CapacityLearner learner;
@@ -23,8 +26,8 @@
   /** Number of the decision in which an attempt last started here. */
   long lastStartDecision;
 
-  /** Time of the last end of an attempt here. */
-  long lastEndMs = Long.MIN_VALUE;
+  /** Attempts that ended lately, which late reports still count; oldest first. */
+  final ArrayDeque<RunningAttempt> recentEnds = new ArrayDeque<>();
 
   private WorkerProfile profile;
   private Resources used = Resources.NONE;
@@ -129,6 +132,15 @@
     refresh();
   }
 
+  /** Remembers an ended attempt for the reports that still count it. */
+  void rememberEnd(RunningAttempt attempt, long nowMs) {
+    attempt.endedMs = nowMs;
+    recentEnds.add(attempt);
+    while (recentEnds.getFirst().endedMs < nowMs - MAX_REPORT_AGE_MS) {
+      recentEnds.removeFirst();
+    }
+  }
+
   /** Changes the speed that a running attempt is allowed. */
   void throttle(RunningAttempt attempt, int percent) {
     effective = effective.minus(attempt.effective);
--- a/domain/src/test/java/org/hickorymoor/domain/policy/CapacityLearnerTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/CapacityLearnerTest.java
@@ -45,7 +45,7 @@
   @Test
   void doesNotRiseWhileNothingWaits() {
     CapacityLearner idle = new CapacityLearner(0.5);
-    idle.reported(WITHIN, Examples.WORKER, List.of(), false, 1_000);
+    idle.reported(WITHIN, Examples.WORKER, List.of(), List.of(), false, 1_000);
 
     assertThat(idle.learned(Examples.WORKER).slots()).isEqualTo(4);
   }
@@ -60,7 +60,8 @@
         List.of(
             new RunningAttempt(before, job, worker, Examples.SMALL, 100),
             new RunningAttempt(after, job, worker, Examples.SMALL, 900));
-    learner.reported(new UsageReport(4_000, 8_192, 4, 500), Examples.WORKER, attempts, true, 1_000);
+    learner.reported(
+        new UsageReport(4_000, 8_192, 4, 500), Examples.WORKER, attempts, List.of(), true, 1_000);
 
     assertThat(learner.observed().cpuMillis()).isEqualTo(5_000);
     assertThat(learner.observed().memoryMb()).isEqualTo(9_216);
@@ -70,10 +71,11 @@
   void dropsReportsOlderThanTheLast() {
     report(WITHIN, 5_000);
 
-    assertThat(learner.reported(BEYOND, Examples.WORKER, List.of(), true, 4_000)).isFalse();
+    assertThat(learner.reported(BEYOND, Examples.WORKER, List.of(), List.of(), true, 4_000))
+        .isFalse();
   }
 
   private void report(UsageReport report, long nowMs) {
-    learner.reported(report, Examples.WORKER, List.of(), true, nowMs);
+    learner.reported(report, Examples.WORKER, List.of(), List.of(), true, nowMs);
   }
 }
