Bound unsent bytes of all connections together, and leave no call hanging

Each connection had a limit on unsent bytes, but many slow readers together could hold more than a daemon has. Reading the code over also showed calls that could hang: on connections that the peer had asked to leave when the client stopped, and on a channel retired while a call reserved it. The loop now closes everything however it ends. Sizes are checked before a body is deflated, since the receiver bounds what it inflates.

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/BodyVersion.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/BodyVersion.java
@@ -20,6 +20,9 @@
   /** Large bodies deflated. */
   static final int NEWEST = 2;
 
+  /** Most bytes that a version puts before MessagePack. */
+  static final int PREFIX_BYTES = 1;
+
   private static final byte PLAIN = 0;
   private static final byte DEFLATED = 1;
   private static final int DEFLATE_FROM_BYTES = 512;
@@ -66,7 +69,7 @@
       throw malformed("expected a body, got none");
     }
     if (body[0] == PLAIN) {
-      return Arrays.copyOfRange(body, 1, body.length);
+      return Arrays.copyOfRange(body, PREFIX_BYTES, body.length);
     }
     if (body[0] == DEFLATED) {
       return inflate(body, maxBytes);
@@ -75,9 +78,9 @@
   }
 
   private static byte[] prefixed(byte prefix, byte[] bytes) {
-    byte[] out = new byte[bytes.length + 1];
+    byte[] out = new byte[PREFIX_BYTES + bytes.length];
     out[0] = prefix;
-    System.arraycopy(bytes, 0, out, 1, bytes.length);
+    System.arraycopy(bytes, 0, out, PREFIX_BYTES, bytes.length);
     return out;
   }
 
@@ -101,7 +104,7 @@
   private static byte[] inflate(byte[] body, int maxBytes) throws FrameException {
     Inflater inflater = new Inflater(true);
     try {
-      inflater.setInput(body, 1, body.length - 1);
+      inflater.setInput(body, PREFIX_BYTES, body.length - PREFIX_BYTES);
       ByteArrayOutputStream out = new ByteArrayOutputStream(CHUNK_BYTES);
       byte[] chunk = new byte[CHUNK_BYTES];
       while (!inflater.finished()) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/ClientConnection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ClientConnection.java
@@ -32,6 +32,7 @@
   private final EventLoop loop;
   private final PeerSettings settings;
   private final PeerMetrics metrics;
+  private final OutboundBudget budget;
   private final String address;
   private final Owner owner;
   private final Deque<PendingCall> waiting = new ArrayDeque<>();
@@ -46,10 +47,16 @@
   private boolean ended;
 
   ClientConnection(
-      EventLoop loop, PeerSettings settings, PeerMetrics metrics, String address, Owner owner) {
+      EventLoop loop,
+      PeerSettings settings,
+      PeerMetrics metrics,
+      OutboundBudget budget,
+      String address,
+      Owner owner) {
     this.loop = loop;
     this.settings = settings;
     this.metrics = metrics;
+    this.budget = budget;
     this.address = address;
     this.owner = owner;
   }
@@ -129,7 +136,7 @@
         return;
       }
       cancelTimer();
-      Connection opened = new Connection(loop, connecting, settings, metrics, true, this);
+      Connection opened = new Connection(loop, connecting, settings, metrics, budget, true, this);
       connection = opened;
       metrics.count(Event.CONNECTED);
       onConnected(opened);
@@ -165,14 +172,14 @@
   }
 
   private void send(Connection opened, PendingCall call) {
-    int version = opened.version();
-    byte[] body = BodyVersion.wrap(version, RequestCodec.CODEC.encode(call.request()));
-    Frame frame = new Frame(version, FrameKind.REQUEST, nextId(), body);
-    if (frame.wireBytes() > settings.maxFrameBytes()) {
+    byte[] packed = RequestCodec.CODEC.encode(call.request());
+    if (packed.length > settings.maxPackedBytes()) {
       finish(call);
-      call.complete(tooLarge(frame));
+      call.complete(tooLarge(packed.length));
       return;
     }
+    byte[] body = BodyVersion.wrap(opened.version(), packed);
+    Frame frame = new Frame(opened.version(), FrameKind.REQUEST, nextId(), body);
     pending.put(frame.id(), call);
     Connection.Outbound outbound = opened.send(frame, Purpose.of(call.request()));
     if (outbound != null) {
@@ -189,12 +196,12 @@
     return lastId;
   }
 
-  private PeerReply tooLarge(Frame frame) {
+  private PeerReply tooLarge(int packedBytes) {
     return new PeerReply.Refused(
         PeerErrorType.BAD_REQUEST,
         String.format(
             "expected a request of at most %d bytes, got %d; it was not sent",
-            settings.maxFrameBytes(), frame.wireBytes()));
+            settings.maxPackedBytes(), packedBytes));
   }
 
   private void onReply(Frame frame) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Connection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Connection.java
@@ -53,6 +53,7 @@
   private final SocketChannel channel;
   private final PeerSettings settings;
   private final PeerMetrics metrics;
+  private final OutboundBudget budget;
   private final Listener listener;
   private final boolean greetsFirst;
   private final long quietLimitMs;
@@ -77,6 +78,7 @@
    * @param channel the channel, connected and non-blocking
    * @param settings times and limits
    * @param metrics counters
+   * @param budget bounds the unsent bytes of all connections
    * @param greetsFirst whether to send a hello unasked; the other end answers it with its own
    * @param listener takes frames and the end
    * @throws IOException if the channel is closed already
@@ -86,6 +88,7 @@
       SocketChannel channel,
       PeerSettings settings,
       PeerMetrics metrics,
+      OutboundBudget budget,
       boolean greetsFirst,
       Listener listener)
       throws IOException {
@@ -93,6 +96,7 @@
     this.channel = channel;
     this.settings = settings;
     this.metrics = metrics;
+    this.budget = budget;
     this.greetsFirst = greetsFirst;
     this.listener = listener;
     this.quietLimitMs = quietLimitMs(settings, greetsFirst);
@@ -146,7 +150,7 @@
    * @return the frame on its way, or null if the connection is closed or the queue full
    */
   @Nullable Outbound send(Frame frame, Purpose purpose) {
-    if (closed || outboundBytes + frame.wireBytes() > settings.maxOutboundBytes()) {
+    if (closed || !tryReserve(frame.wireBytes())) {
       return null;
     }
     if (outbound.isEmpty()) {
@@ -154,7 +158,6 @@
     }
     Outbound out = new Outbound(frame.encode(), purpose);
     outbound.add(out);
-    outboundBytes += frame.wireBytes();
     flush();
     return out;
   }
@@ -168,20 +171,27 @@
     if (out.bytes.position() > 0 || !outbound.remove(out)) {
       return false;
     }
-    outboundBytes -= out.bytes.limit();
+    release(out.bytes.limit());
     return true;
   }
 
+  /** Returns how many bytes wait to be sent. */
+  int outboundBytes() {
+    return outboundBytes;
+  }
+
   /** Closes the connection. */
   void close(String cause) {
     if (closed) {
       return;
     }
     closed = true;
+    outbound.clear();
     if (timer != null) {
       loop.cancel(timer);
     }
     key.cancel();
+    release(outboundBytes);
     try {
       channel.close();
     } catch (IOException e) {
@@ -198,6 +208,19 @@
     close(cause);
   }
 
+  private boolean tryReserve(int bytes) {
+    if (outboundBytes + bytes > settings.maxOutboundBytes() || !budget.tryTake(this, bytes)) {
+      return false;
+    }
+    outboundBytes += bytes;
+    return true;
+  }
+
+  private void release(int bytes) {
+    outboundBytes -= bytes;
+    budget.release(this, bytes);
+  }
+
   private void onReady(SelectionKey readyKey) {
     if (readyKey.isReadable()) {
       receive();
@@ -299,7 +322,7 @@
       return false;
     }
     first.sent = true;
-    outboundBytes -= first.bytes.limit();
+    release(first.bytes.limit());
     metrics.count(Direction.SENT, first.purpose, first.bytes.limit());
     if (linkSentBytes != null) {
       linkSentBytes.inc(first.bytes.limit());
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/EventLoop.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/EventLoop.java
@@ -62,6 +62,7 @@
 
   private final Thread thread;
   private final Selector selector;
+  private final Runnable onEnd;
   private final TreeSet<Timer> timers = new TreeSet<>();
   private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
   private final Object lock = new Object();
@@ -77,10 +78,12 @@
    * Makes a loop that does not run yet.
    *
    * @param name name of its thread
+   * @param onEnd run last, however the loop ends
    * @throws IOException if the system gives no selector
    */
-  EventLoop(String name) throws IOException {
+  EventLoop(String name, Runnable onEnd) throws IOException {
     this.selector = Selector.open();
+    this.onEnd = onEnd;
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
@@ -253,6 +256,7 @@
       stopped = true;
     }
     runTasks();
+    runSafely(onEnd);
     selector.keys().forEach(EventLoop::closeChannel);
     try {
       selector.close();
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerChannel.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerChannel.java
@@ -1,10 +1,13 @@
 package org.hickorymoor.daemon.peer;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Everything that a client holds of one peer: the connection of the moment and the back-off.
+ * Everything that a client holds of one peer: its connections and the back-off.
  *
  * <p>Belongs to the thread of the loop, but for the count of calls.
  */
@@ -13,10 +16,12 @@
   private final EventLoop loop;
   private final PeerSettings settings;
   private final PeerMetrics metrics;
+  private final OutboundBudget budget;
   private final String address;
-  private final Runnable onRetired;
+  private final Runnable onUnused;
   private final Backoff backoff;
   private final AtomicInteger callsInFlight = new AtomicInteger();
+  private final Set<ClientConnection> connections = new HashSet<>();
   private @Nullable ClientConnection current;
 
   /**
@@ -25,20 +30,23 @@
    * @param loop the loop that serves it
    * @param settings times and limits
    * @param metrics counters
+   * @param budget bounds the unsent bytes of all connections
    * @param address ip:port of the peer
-   * @param onRetired run when nothing of the channel is worth keeping
+   * @param onUnused run when nothing of the channel may be worth keeping
    */
   PeerChannel(
       EventLoop loop,
       PeerSettings settings,
       PeerMetrics metrics,
+      OutboundBudget budget,
       String address,
-      Runnable onRetired) {
+      Runnable onUnused) {
     this.loop = loop;
     this.settings = settings;
     this.metrics = metrics;
+    this.budget = budget;
     this.address = address;
-    this.onRetired = onRetired;
+    this.onUnused = onUnused;
     this.backoff = new Backoff(settings.minBackoffMs(), settings.maxBackoffMs());
   }
 
@@ -67,8 +75,9 @@
             address + " could not be connected; the next attempt is due in " + waitMs + " ms");
         return;
       }
-      connection = new ClientConnection(loop, settings, metrics, address, this);
+      connection = new ClientConnection(loop, settings, metrics, budget, address, this);
       current = connection;
+      connections.add(connection);
     }
     if (link != null) {
       connection.nameLink(link);
@@ -77,11 +86,14 @@
     connection.connect();
   }
 
-  /** Closes the connection; calls on it fail. */
+  /** Tells whether the channel holds neither connection nor call; the loop's thread only. */
+  boolean isUnused() {
+    return connections.isEmpty() && callsInFlight.get() == 0;
+  }
+
+  /** Closes all connections; calls on them fail. */
   void close(String cause) {
-    if (current != null) {
-      current.close(cause);
-    }
+    List.copyOf(connections).forEach(connection -> connection.close(cause));
   }
 
   @Override
@@ -92,12 +104,13 @@
   @Override
   public void onEnded(ClientConnection connection, boolean heard) {
     forget(connection);
+    connections.remove(connection);
     if (heard) {
       backoff.succeeded();
     } else {
       backoff.failed(System.nanoTime());
     }
-    loop.schedule(2 * settings.maxBackoffMs(), this::retireIfUnused);
+    loop.schedule(2 * settings.maxBackoffMs(), onUnused);
   }
 
   private void forget(ClientConnection connection) {
@@ -105,10 +118,4 @@
       current = null;
     }
   }
-
-  private void retireIfUnused() {
-    if (current == null && callsInFlight.get() == 0) {
-      onRetired.run();
-    }
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hickorymoor.daemon.peer.PeerMetrics.Event;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +31,7 @@
   private final PeerSettings settings;
   private final PeerMetrics metrics;
   private final Executor executor;
+  private final OutboundBudget budget;
   private final EventLoop loop;
   private final ConcurrentMap<String, PeerChannel> channels = new ConcurrentHashMap<>();
   private final AtomicInteger callsInFlight = new AtomicInteger();
@@ -60,7 +62,8 @@
     this.settings = settings;
     this.metrics = new PeerMetrics(metrics, "client");
     this.executor = executor;
-    this.loop = new EventLoop("peer-client");
+    this.budget = new OutboundBudget(settings.maxTotalOutboundBytes());
+    this.loop = new EventLoop("peer-client", this::closeAll);
   }
 
   /** Starts the client. */
@@ -77,7 +80,6 @@
     CompletableFuture<Void> drained = new CompletableFuture<>();
     if (loop.execute(() -> awaitDrained(drained))) {
       Waits.awaitQuietly(drained, settings.stopGraceMs());
-      loop.execute(() -> channels.values().forEach(channel -> channel.close("this host stops")));
     }
     loop.stop();
   }
@@ -113,8 +115,8 @@
     if (!running) {
       return failed(PeerException.Type.UNREACHABLE, "the client of this host does not run");
     }
-    PeerChannel channel = channels.computeIfAbsent(address, this::newChannel);
-    if (!channel.tryReserve()) {
+    PeerChannel channel = reserve(address);
+    if (channel == null) {
       metrics.count(Event.OVERLOADED);
       return failed(
           PeerException.Type.OVERLOADED,
@@ -141,8 +143,31 @@
     callsInFlight.decrementAndGet();
   }
 
+  /** Reserves room for a call; null if too many are in flight. One step, so none is retired. */
+  private @Nullable PeerChannel reserve(String address) {
+    AtomicBoolean reserved = new AtomicBoolean();
+    PeerChannel channel =
+        channels.compute(
+            address,
+            (key, existing) -> {
+              PeerChannel found = existing == null ? newChannel(key) : existing;
+              reserved.set(found.tryReserve());
+              return found;
+            });
+    return reserved.get() ? channel : null;
+  }
+
   private PeerChannel newChannel(String address) {
-    return new PeerChannel(loop, settings, metrics, address, () -> channels.remove(address));
+    return new PeerChannel(loop, settings, metrics, budget, address, () -> retire(address));
+  }
+
+  private void retire(String address) {
+    channels.computeIfPresent(address, (key, channel) -> channel.isUnused() ? null : channel);
+  }
+
+  private void closeAll() {
+    running = false;
+    channels.values().forEach(channel -> channel.close("this host stops"));
   }
 
   private void awaitDrained(CompletableFuture<Void> drained) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerServer.java
@@ -40,6 +40,7 @@
   private final PeerSettings settings;
   private final PeerMetrics metrics;
   private final Executor executor;
+  private final OutboundBudget budget;
   private final EventLoop loop;
   private final Set<ServerConnection> connections = new HashSet<>();
   private volatile @Nullable String address;
@@ -82,7 +83,8 @@
     this.settings = settings;
     this.metrics = new PeerMetrics(metrics, "server");
     this.executor = executor;
-    this.loop = new EventLoop("peer-server");
+    this.budget = new OutboundBudget(settings.maxTotalOutboundBytes());
+    this.loop = new EventLoop("peer-server", this::closeAll);
   }
 
   /**
@@ -120,7 +122,6 @@
     CompletableFuture<Void> drained = new CompletableFuture<>();
     if (address != null && loop.execute(() -> beginStop(drained))) {
       Waits.awaitQuietly(drained, settings.stopGraceMs());
-      loop.execute(this::closeAll);
     }
     loop.stop();
     logger.atInfo().log("peer: stopped");
@@ -142,7 +143,7 @@
     }
     channel.configureBlocking(false);
     ServerConnection connection =
-        new ServerConnection(loop, channel, settings, metrics, new Dispatcher());
+        new ServerConnection(loop, channel, settings, metrics, budget, new Dispatcher());
     connections.add(connection);
     metrics.count(Event.CONNECTED);
     connection.start();
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerSettings.java
@@ -23,6 +23,8 @@
  * @param stopGraceMs how long a stop waits for calls in flight
  * @param maxFrameBytes largest frame, header included
  * @param maxOutboundBytes most bytes that wait to be sent on one connection
+ * @param maxTotalOutboundBytes most bytes that wait to be sent on all connections of a client or
+ *     server
  * @param maxInFlight most unanswered calls on one connection
  * @param maxConnections most connections that a server holds
  * @param maxVersion newest frame version to speak
@@ -39,6 +41,7 @@
     long stopGraceMs,
     int maxFrameBytes,
     int maxOutboundBytes,
+    int maxTotalOutboundBytes,
     int maxInFlight,
     int maxConnections,
     int maxVersion) {
@@ -51,9 +54,10 @@
   private static final long IDLE_CLOSE_MS = 300_000;
   private static final long STOP_GRACE_MS = 5_000;
   private static final int MAX_FRAME_BYTES = 1 << 20;
-  private static final int MAX_OUTBOUND_BYTES = 4 << 20;
-  private static final int MAX_IN_FLIGHT = 4_096;
-  private static final int MAX_CONNECTIONS = 256;
+  private static final int MAX_OUTBOUND_BYTES = 2 << 20;
+  private static final int MAX_TOTAL_OUTBOUND_BYTES = 8 << 20;
+  private static final int MAX_IN_FLIGHT = 2_048;
+  private static final int MAX_CONNECTIONS = 128;
 
   /** Checks the ranges. */
   public PeerSettings {
@@ -81,6 +85,11 @@
         "maxOutboundBytes must be at least maxFrameBytes (%s), got %s",
         maxFrameBytes,
         maxOutboundBytes);
+    checkArgument(
+        maxTotalOutboundBytes >= maxOutboundBytes,
+        "maxTotalOutboundBytes must be at least maxOutboundBytes (%s), got %s",
+        maxOutboundBytes,
+        maxTotalOutboundBytes);
     checkArgument(maxInFlight >= 1, "maxInFlight must be at least 1, got %s", maxInFlight);
     checkArgument(maxConnections >= 1, "maxConnections must be at least 1, got %s", maxConnections);
     checkArgument(
@@ -91,6 +100,11 @@
         maxVersion);
   }
 
+  /** Returns the most bytes of MessagePack that fit into a frame, deflated or not. */
+  int maxPackedBytes() {
+    return maxFrameBytes - Frame.MAX_HEADER_BYTES - BodyVersion.PREFIX_BYTES;
+  }
+
   /**
    * Returns the defaults.
    *
@@ -111,6 +125,7 @@
         STOP_GRACE_MS,
         MAX_FRAME_BYTES,
         MAX_OUTBOUND_BYTES,
+        MAX_TOTAL_OUTBOUND_BYTES,
         MAX_IN_FLIGHT,
         MAX_CONNECTIONS,
         BodyVersion.NEWEST);
@@ -136,6 +151,7 @@
         stopGraceMs,
         maxFrameBytes,
         maxOutboundBytes,
+        maxTotalOutboundBytes,
         maxInFlight,
         maxConnections,
         maxVersion);
@@ -160,13 +176,15 @@
         stopGraceMs,
         maxFrameBytes,
         maxOutboundBytes,
+        maxTotalOutboundBytes,
         maxInFlight,
         maxConnections,
         maxVersion);
   }
 
   /**
-   * Returns these settings with other limits of memory.
+   * Returns these settings with other limits of memory; the limit on all connections together is
+   * raised to that on one where it is lower.
    *
    * @param maxFrameBytes largest frame, header included
    * @param maxOutboundBytes most bytes that wait to be sent on one connection
@@ -186,6 +204,7 @@
         stopGraceMs,
         maxFrameBytes,
         maxOutboundBytes,
+        Math.max(maxTotalOutboundBytes, maxOutboundBytes),
         maxInFlight,
         maxConnections,
         maxVersion);
@@ -210,6 +229,7 @@
         stopGraceMs,
         maxFrameBytes,
         maxOutboundBytes,
+        maxTotalOutboundBytes,
         maxInFlight,
         maxConnections,
         maxVersion);
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/ServerConnection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ServerConnection.java
@@ -40,12 +40,13 @@
       SocketChannel channel,
       PeerSettings settings,
       PeerMetrics metrics,
+      OutboundBudget budget,
       Owner owner)
       throws IOException {
     this.settings = settings;
     this.metrics = metrics;
     this.owner = owner;
-    this.connection = new Connection(loop, channel, settings, metrics, false, this);
+    this.connection = new Connection(loop, channel, settings, metrics, budget, false, this);
   }
 
   void start() {
@@ -68,12 +69,15 @@
       metrics.count(Event.REPLY_DROPPED);
       return;
     }
-    byte[] body = BodyVersion.wrap(exchange.version(), ReplyCodec.CODEC.encode(reply));
-    Frame frame = new Frame(exchange.version(), FrameKind.REPLY, exchange.id(), body);
-    if (frame.wireBytes() > settings.maxFrameBytes()) {
+    byte[] packed = ReplyCodec.CODEC.encode(reply);
+    if (packed.length > settings.maxPackedBytes()) {
       metrics.count(Event.REPLY_TOO_LARGE);
-      connection.sendError(replyTooLarge(frame));
-    } else if (connection.send(frame, exchange.purpose()) == null) {
+      connection.sendError(replyTooLarge(exchange.id(), packed.length));
+      return;
+    }
+    byte[] body = BodyVersion.wrap(exchange.version(), packed);
+    Frame frame = new Frame(exchange.version(), FrameKind.REPLY, exchange.id(), body);
+    if (connection.send(frame, exchange.purpose()) == null) {
       connection.close(Event.CLOSED_SLOW_READER, "too many bytes wait to be sent");
     }
   }
@@ -137,12 +141,12 @@
             BodyVersion.OLDEST, settings.maxVersion(), frame.version()));
   }
 
-  private FrameException replyTooLarge(Frame frame) {
+  private FrameException replyTooLarge(int id, int packedBytes) {
     return new FrameException(
         FrameErrorType.REPLY_TOO_LARGE,
-        frame.id(),
+        id,
         String.format(
             "expected a reply of at most %d bytes, got %d; ask for less",
-            settings.maxFrameBytes(), frame.wireBytes()));
+            settings.maxPackedBytes(), packedBytes));
   }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/peer/PeerClientTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/peer/PeerClientTest.java
@@ -7,9 +7,12 @@
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -122,6 +125,46 @@
     await().atMost(LIMIT).until(() -> peers.serverCount("closed-silent") == 1);
   }
 
+  @Test
+  void noiseInPlaceOfRepliesFailsCallsTyped() throws Exception {
+    Random random = new Random(62);
+    PeerSettings settings = Peers.patientSettings();
+    for (int i = 0; i < 100; i++) {
+      try (ServerSocket acceptor = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        PeerClient client = peers.client(settings);
+        CompletableFuture<PeerReply> call = call(client, addressOf(acceptor));
+        try (RawPeer raw = new RawPeer(acceptor.accept())) {
+          byte[] noise = new byte[1 + random.nextInt(40)];
+          random.nextBytes(noise);
+          raw.read(FrameKind.REQUEST);
+          raw.send(noise);
+        }
+        assertThat(failure(call)).isEqualTo(PeerException.Type.NO_ANSWER);
+        client.stop();
+      }
+    }
+  }
+
+  @Test
+  void connectThatHangsFailsAsUnreachable() throws Exception {
+    try (ServerSocket acceptor = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      List<SocketChannel> fillers = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        SocketChannel filler = SocketChannel.open();
+        filler.configureBlocking(false);
+        filler.connect(acceptor.getLocalSocketAddress());
+        fillers.add(filler);
+      }
+      PeerClient client = peers.client(Peers.patientSettings());
+
+      assertThat(failure(call(client, addressOf(acceptor))))
+          .isEqualTo(PeerException.Type.UNREACHABLE);
+      for (SocketChannel filler : fillers) {
+        filler.close();
+      }
+    }
+  }
+
   @Test
   void heartbeatsKeepAnIdleConnectionOpen() throws Exception {
     PeerServer server = peers.server(Peers.settings(), Peers.done());
