Ask for a while about a job whose record may still be on its way

After a broken submit of a job that must not be repeated the tool asked once, so a record that arrived a moment later was reported as in doubt.

--- a/cli/src/main/java/org/hickorymoor/cli/client/JobClient.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/JobClient.java
@@ -19,6 +19,8 @@
 
   private static final long MAX_SERVER_WAIT_MS = 30_000;
   private static final long POLL_PAUSE_MS = 200;
+  private static final long LOOKUP_MS = 5_000;
+  private static final long LOOKUP_PAUSE_MS = 1_000;
   private static final int NOT_FOUND = 404;
 
   private final RetryingClient client;
@@ -99,12 +101,17 @@
     return JobReply.of(client.send(Call.aboutJob("DELETE", path(request), 0)), request);
   }
 
+  /** Asks about a job whose record may still be on its way. */
   private JobReply findSubmitted(RequestKey request, OutcomeUnknownException failure)
       throws ClientException, ServerErrorException {
+    long deadlineMs = pacer.nowMs() + LOOKUP_MS;
     try {
-      Reply reply = client.send(statusCall(request, 0));
-      if (reply.isSuccess()) {
-        return JobReply.of(reply, request);
+      while (pacer.nowMs() <= deadlineMs) {
+        Reply reply = client.send(statusCall(request, 0));
+        if (reply.isSuccess()) {
+          return JobReply.of(reply, request);
+        }
+        pacer.sleep(LOOKUP_PAUSE_MS);
       }
     } catch (UnreachableException e) {
       failure.addSuppressed(e);
--- a/cli/src/test/java/org/hickorymoor/cli/ExamplesTest.java
+++ b/cli/src/test/java/org/hickorymoor/cli/ExamplesTest.java
@@ -41,6 +41,14 @@
     return Stream.concat(records(KADUNA).stream(), records(CONSORTIUM).stream()).toList();
   }
 
+  @Test
+  void recordOfTheApiPageIsValid() throws Exception {
+    String page = Files.readString(Path.of("../docs/API.md"));
+    String record = page.split("```json\n", 2)[1].split("```", 2)[0];
+
+    assertThat(JobRecordCodec.parse(record).name()).isEqualTo("cut-plan");
+  }
+
   @Test
   void everyKindIsShown() throws Exception {
     Set<JobKind> kinds = new TreeSet<>(all().stream().map(JobSpec::kind).toList());
--- a/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
+++ b/cli/src/test/java/org/hickorymoor/cli/client/JobClientTest.java
@@ -107,6 +107,17 @@
     assertThat(transport.calls.get(1)).startsWith("b GET");
   }
 
+  @Test
+  void asksAgainAboutUnrepeatableJobThatMayBeOnItsWay() throws Exception {
+    transport
+        .thenBreak()
+        .thenReply(404, UNKNOWN_JOB)
+        .thenReply(404, UNKNOWN_JOB)
+        .thenReply(200, answer(JobState.RUNNING));
+
+    assertThat(submit(false, 0)).isEqualTo(JobState.RUNNING);
+  }
+
   @Test
   void asksTheNextServerAboutJobThatOneDoesNotKnow() throws Exception {
     transport.thenReply(404, UNKNOWN_JOB).thenReply(200, answer(JobState.DONE));
