--- a/daemon/src/main/java/org/hickorymoor/daemon/audit/AuditFilter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/audit/AuditFilter.java
@@ -8,7 +8,7 @@
  * Which entries to read.
  *
  * @param who operator, or null for any
- * @param what kind of change or its beginning, or null for any
+ * @param what kind of change, or null for any
  * @param target what was changed, or null for any
  * @param fromMs earliest wall-clock time
  * @param limit most entries, the newest of those that match
@@ -33,7 +33,7 @@
 
   boolean matches(AuditEntry entry) {
     return (who == null || who.equals(entry.who()))
-        && (what == null || entry.what().startsWith(what))
+        && (what == null || what.equals(entry.what()))
         && (target == null || target.equals(entry.target()))
         && entry.atMs() >= fromMs;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -14,6 +14,7 @@
 import org.hickorymoor.daemon.stream.StreamContext;
 import org.hickorymoor.daemon.stream.StreamGap;
 import org.hickorymoor.daemon.stream.StreamListener;
+import org.hickorymoor.domain.config.AcceptedPublication;
 import org.hickorymoor.domain.config.ConfigRecord;
 import org.hickorymoor.domain.config.ConfigRecord.Publication;
 import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
@@ -195,6 +196,15 @@
     return publisher.outcome(publishId, expectedVersion);
   }
 
+  /**
+   * Returns the newest publications that came into force.
+   *
+   * @return at most {@link ConfigState#HISTORY_SIZE}, oldest first
+   */
+  public List<AcceptedPublication> history() {
+    return store.read(ConfigState::history);
+  }
+
   /**
    * Returns what a peer lacks: the state of this host as one record.
    *
--- a/daemon/src/test/java/org/hickorymoor/daemon/audit/AuditTrailTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/audit/AuditTrailTest.java
@@ -39,7 +39,8 @@
     assertThat(trail.read(new AuditFilter("ada", null, null, 0, 10)))
         .containsExactly(drain, undrain)
         .inOrder();
-    assertThat(trail.read(new AuditFilter(null, "worker.", "w1", 2, 10))).containsExactly(undrain);
+    assertThat(trail.read(new AuditFilter(null, "worker.undrain", "w1", 2, 10)))
+        .containsExactly(undrain);
     assertThat(trail.read(AuditFilter.newest(2))).containsExactly(cancel, undrain).inOrder();
   }
 
--- a/protocol/src/main/java/org/hickorymoor/protocol/config/ConfigRecordCodec.java
+++ b/protocol/src/main/java/org/hickorymoor/protocol/config/ConfigRecordCodec.java
@@ -36,12 +36,16 @@
   private static final String WHO = "who";
   private static final String AT_MS = "atMs";
   private static final String BODY = "body";
+  private static final String PACKED_BODY = "packedBody";
   private static final String AS_OF_OFFSET = "asOfOffset";
   private static final String VERSION = "version";
   private static final String VERSION_OFFSET = "versionOffset";
   private static final String HISTORY = "history";
   private static final String OFFSET = "offset";
 
+  /** Longest configuration that is written as plain JSON; longer ones are packed. */
+  private static final int MAX_PLAIN_CHARS = 4 * 1024;
+
   private ConfigRecordCodec() {}
 
   /**
@@ -62,7 +66,7 @@
     object.addProperty(EXPECTED_VERSION, expectedVersion);
     object.addProperty(WHO, who);
     object.addProperty(AT_MS, atMs);
-    object.add(BODY, JsonParser.parseString(bodyJson));
+    addBody(object, bodyJson);
     return object.toString();
   }
 
@@ -83,7 +87,7 @@
     object.addProperty(VERSION_OFFSET, snapshot.versionOffset());
     object.addProperty(AT_MS, snapshot.atMs());
     object.add(HISTORY, history(snapshot.history()));
-    object.add(BODY, ConfigWriter.write(body.config()));
+    addBody(object, ConfigCodec.toJson(body.config()));
     return object.toString();
   }
 
@@ -141,8 +145,20 @@
         body(object));
   }
 
+  private static void addBody(JsonObject object, String bodyJson) {
+    if (bodyJson.length() > MAX_PLAIN_CHARS) {
+      object.addProperty(PACKED_BODY, PackedText.pack(bodyJson));
+    } else {
+      object.add(BODY, JsonParser.parseString(bodyJson));
+    }
+  }
+
   private static ConfigBody body(JsonObject object) {
-    JsonElement body = member(object, BODY);
+    JsonElement body =
+        object.has(PACKED_BODY)
+            ? JsonParser.parseString(
+                PackedText.unpack(text(object, PACKED_BODY), ConfigCodec.MAX_BYTES))
+            : member(object, BODY);
     String newer = newerSchemaVersion(body);
     if (newer != null) {
       return new ConfigBody.Unreadable(newer);
--- a/protocol/src/main/java/org/hickorymoor/protocol/config/FlatConfig.java
+++ b/protocol/src/main/java/org/hickorymoor/protocol/config/FlatConfig.java
@@ -125,6 +125,7 @@
           CONTROL_PERCENT,
           "waitingPercent, packingPercent and controlPercent to sum to 100",
           "a sum of " + sumPercent);
+      return PolicyWeights.DEFAULT;
     }
     return new PolicyWeights(share(waitingPercent), share(packingPercent), share(controlPercent));
   }
--- a/protocol/src/test/java/org/hickorymoor/protocol/config/ConfigRecordCodecTest.java
+++ b/protocol/src/test/java/org/hickorymoor/protocol/config/ConfigRecordCodecTest.java
@@ -47,6 +47,18 @@
         .isInstanceOf(Malformed.class);
   }
 
+  @Test
+  void takesBodyThatUnpacksToTooMuchAsMalformed() {
+    String bomb = PackedText.pack(" ".repeat(ConfigCodec.MAX_BYTES + 1));
+    String record =
+        "{\"kind\":\"publication\",\"id\":\"a\",\"expectedVersion\":0,\"who\":\"ada\","
+            + "\"atMs\":0,\"packedBody\":\""
+            + bomb
+            + "\"}";
+
+    assertThat(ConfigRecordCodec.decode(record)).isInstanceOf(Malformed.class);
+  }
+
   @Property(seed = "41")
   void neverFails(@ForAll String text) {
     assertThat(ConfigRecordCodec.decode(text)).isInstanceOf(Malformed.class);
