--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -45,13 +45,15 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NO_OFFSET = -1;
 
+  /** Records within which a snapshot is expected. */
+  private static final long TAIL_RECORDS = 128;
+
   private final StreamContext context;
   private final LongSupplier wallClockMs;
   private final ConfigServiceSettings settings;
   private final AppendBudget budget;
   private final ConfigStore store = new ConfigStore();
   private final ConfigPublisher publisher;
-  private final LogFollower follower;
   private final Object lock = new Object();
 
   // Guarded by lock.
@@ -61,6 +63,8 @@
   private boolean ready;
   private boolean readFailed;
   private boolean peerHeard;
+  private boolean readFromStart;
+  private LogFollower follower;
 
   /**
    * Makes a service that knows nothing.
@@ -80,7 +84,9 @@
     this.settings = requireNonNull(settings, "settings");
     this.budget = requireNonNull(budget, "budget");
     this.publisher = new ConfigPublisher(context, store, budget, settings);
-    this.follower = new LogFollower(context, STREAM, 0, settings.follower(), new RecordApplier());
+    this.follower =
+        LogFollower.fromTail(
+            context, STREAM, TAIL_RECORDS, settings.follower(), new RecordApplier());
     this.snapshotTimer = new SnapshotTimer(settings.recordsPerSnapshot(), context.nowMs());
     var unused =
         context.metrics().gauge("config.version", () -> () -> current().config().version());
@@ -102,7 +108,7 @@
                   settings.snapshotCheckMs(),
                   MILLISECONDS);
     }
-    follower.start();
+    follower().start();
   }
 
   /** Stops following; publishes under way are answered. */
@@ -114,7 +120,7 @@
         snapshotTask = null;
       }
     }
-    follower.stop();
+    follower().stop();
     publisher.stop();
   }
 
@@ -147,7 +153,7 @@
   public ConfigStatus status() {
     boolean complete = store.read(ConfigState::isComplete);
     long appliedOffset = store.read(ConfigState::appliedOffset);
-    return new ConfigStatus(ready(), complete, appliedOffset, follower.status());
+    return new ConfigStatus(ready(), complete, appliedOffset, follower().status());
   }
 
   /**
@@ -263,7 +269,7 @@
 
   private void updateReady() {
     boolean complete = store.read(ConfigState::isComplete);
-    FollowerStatus log = follower.status();
+    FollowerStatus log = follower().status();
     boolean logOut = log.state() == FollowerStatus.State.OUT;
     synchronized (lock) {
       boolean peerSuffices = peerHeard && readFailed && logOut;
@@ -275,7 +281,7 @@
   }
 
   private void considerSnapshot() {
-    boolean live = follower.status().state() == FollowerStatus.State.LIVE;
+    boolean live = follower().status().state() == FollowerStatus.State.LIVE;
     if (!live || !takeSnapshotTurn(current().config().logRetentionMs())) {
       return;
     }
@@ -300,6 +306,28 @@
     }
   }
 
+  private LogFollower follower() {
+    synchronized (lock) {
+      return follower;
+    }
+  }
+
+  /** Reads all that is retained if the tail of the stream held no snapshot to begin with. */
+  private void readFromStartIfNeeded(FollowerStatus status) {
+    if (!status.everRead() || store.read(ConfigState::isComplete)) {
+      return;
+    }
+    synchronized (lock) {
+      if (readFromStart || !running || !store.forgetIfNothingInForce()) {
+        return;
+      }
+      readFromStart = true;
+      follower.stop();
+      follower = new LogFollower(context, STREAM, 0, settings.follower(), new RecordApplier());
+      follower.start();
+    }
+  }
+
   private static void logSnapshot(@Nullable Long offset, @Nullable Throwable problem) {
     if (problem == null) {
       logger.atInfo().log("config: snapshot at offset %s", offset);
@@ -336,6 +364,7 @@
         readFailed |= status.state() == FollowerStatus.State.OUT;
       }
       updateReady();
+      readFromStartIfNeeded(status);
     }
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigStore.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigStore.java
@@ -22,7 +22,7 @@
   private final List<Runnable> watchers = new CopyOnWriteArrayList<>();
 
   // Guarded by lock.
-  private final ConfigState state = new ConfigState();
+  private ConfigState state = new ConfigState();
 
   // Guarded by tellLock.
   private long toldVersion;
@@ -65,6 +65,17 @@
     return adopted;
   }
 
+  /** Forgets what was read if nothing of it is in force, and tells whether it did. */
+  boolean forgetIfNothingInForce() {
+    synchronized (lock) {
+      if (state.config().version() > 0) {
+        return false;
+      }
+      state = new ConfigState();
+      return true;
+    }
+  }
+
   ConfigView view() {
     return read(now -> new ConfigView(now.config(), now.configOffset()));
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/stream/LogFollower.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/stream/LogFollower.java
@@ -30,6 +30,9 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Catch-up of a follower that reads everything retained. */
+  private static final long UNLIMITED = Long.MAX_VALUE;
+
   /** Pause after an empty answer that the log did not hold back. */
   private static final long EARLY_ANSWER_PAUSE_MS = 50;
 
@@ -39,12 +42,14 @@
   private final StreamListener listener;
   private final Meter reads;
   private final Meter failures;
+  private final long maxCatchUp;
   private final Object lock = new Object();
   private final BackOff backOff;
 
   // Guarded by lock.
   private FollowerStatus status;
   private boolean running;
+  private boolean answeredBefore;
 
   /**
    * Makes a follower that has read nothing.
@@ -61,6 +66,17 @@
       long fromOffset,
       FollowerSettings settings,
       StreamListener listener) {
+    this(context, stream, fromOffset, UNLIMITED, settings, listener);
+  }
+
+  private LogFollower(
+      StreamContext context,
+      String stream,
+      long fromOffset,
+      long maxCatchUp,
+      FollowerSettings settings,
+      StreamListener listener) {
+    this.maxCatchUp = maxCatchUp;
     this.context = requireNonNull(context, "context");
     this.stream = requireNonNull(stream, "stream");
     this.settings = requireNonNull(settings, "settings");
@@ -71,6 +87,25 @@
     this.status = new FollowerStatus(State.OUT, context.nowMs(), false, 0, fromOffset, fromOffset);
   }
 
+  /**
+   * Makes a follower that begins with the newest records, and tells of a gap before them.
+   *
+   * @param context the log, timers and clock
+   * @param stream name of the stream
+   * @param maxCatchUp most records to read that stood in the stream at the first answer
+   * @param settings how to read
+   * @param listener is told what is read
+   * @return the follower
+   */
+  public static LogFollower fromTail(
+      StreamContext context,
+      String stream,
+      long maxCatchUp,
+      FollowerSettings settings,
+      StreamListener listener) {
+    return new LogFollower(context, stream, 0, maxCatchUp, settings, listener);
+  }
+
   /** Starts reading. Has no effect on a follower that runs. */
   public void start() {
     synchronized (lock) {
@@ -162,7 +197,7 @@
   }
 
   private void deliver(ReadReply reply) {
-    skipTo(reply.startOffset());
+    skipTo(firstWanted(reply));
     for (LogRecord record : reply.records()) {
       if (!isRunning()) {
         return;
@@ -175,6 +210,15 @@
     }
   }
 
+  private long firstWanted(ReadReply reply) {
+    synchronized (lock) {
+      boolean first = !answeredBefore;
+      answeredBefore = true;
+      boolean skips = first && maxCatchUp != UNLIMITED;
+      return Math.max(reply.startOffset(), skips ? reply.endOffset() - maxCatchUp : 0);
+    }
+  }
+
   private void skipTo(long offset) {
     long nextOffset = status().nextOffset();
     if (offset <= nextOffset) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/config/ConfigServiceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/config/ConfigServiceTest.java
@@ -147,6 +147,17 @@
     assertThat(fresh.outcome("id", 0)).isEqualTo(new PublishResult.Accepted(1, 0));
   }
 
+  @Test
+  void readsFromTheStartWhereTheTailHasNoSnapshot() {
+    for (int i = 0; i < 200; i++) {
+      var unused =
+          log.append(
+              ConfigService.STREAM, ConfigRecordCodec.publication("id" + i, i, "ada", 0, BODY), 0);
+    }
+
+    assertThat(readyService(SETTINGS).current().config().version()).isEqualTo(200);
+  }
+
   @Test
   void isNotReadyWhileRetentionHidesTheState() throws Exception {
     ConfigService host = readyService(SETTINGS);
--- a/daemon/src/test/java/org/hickorymoor/daemon/stream/LogFollowerTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/stream/LogFollowerTest.java
@@ -19,24 +19,21 @@
   private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
   private final FakeLog log = new FakeLog();
   private final List<Object> heard = new CopyOnWriteArrayList<>();
-  private final LogFollower follower =
-      new LogFollower(
-          new StreamContext(
-              log, executor, () -> System.nanoTime() / 1_000_000, new MetricRegistry()),
-          "s",
-          0,
-          SETTINGS,
-          new StreamListener() {
-            @Override
-            public void onRecord(LogRecord record) {
-              heard.add(record.data());
-            }
-
-            @Override
-            public void onGap(StreamGap gap) {
-              heard.add(gap);
-            }
-          });
+  private final StreamContext context =
+      new StreamContext(log, executor, () -> System.nanoTime() / 1_000_000, new MetricRegistry());
+  private final StreamListener listener =
+      new StreamListener() {
+        @Override
+        public void onRecord(LogRecord record) {
+          heard.add(record.data());
+        }
+
+        @Override
+        public void onGap(StreamGap gap) {
+          heard.add(gap);
+        }
+      };
+  private final LogFollower follower = new LogFollower(context, "s", 0, SETTINGS, listener);
 
   @AfterEach
   void stop() {
@@ -67,6 +64,19 @@
     assertThat(heard).containsExactly(new StreamGap(0, 2), "c").inOrder();
   }
 
+  @Test
+  void beginsWithTheNewestRecordsIfAsked() {
+    append("a", "b", "c", "d");
+    LogFollower tail = LogFollower.fromTail(context, "s", 1, SETTINGS, listener);
+    tail.start();
+    await().until(() -> heard.size() >= 2);
+    append("e", "f", "g");
+    await().until(() -> heard.size() >= 5);
+    tail.stop();
+
+    assertThat(heard).containsExactly(new StreamGap(0, 3), "d", "e", "f", "g").inOrder();
+  }
+
   @Test
   void goesOnAfterAnOutage() {
     append("a");
