Try the services on random histories with fixed seeds

Cause: unit tests cover one fault at a time; races, lost replies, outages, restarts and retention come together.

--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigPublisher.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigPublisher.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.stream.AppendBudget;
 import org.hickorymoor.daemon.stream.StreamContext;
@@ -141,7 +140,7 @@
       }
       if (problem != null) {
         logger.atInfo().log("config: append of %s failed: %s", publishId, problem);
-        schedule(this::append, 1 + ThreadLocalRandom.current().nextLong(MAX_PAUSE_MS));
+        schedule(this::append, 1 + (long) (context.random().getAsDouble() * MAX_PAUSE_MS));
       }
     }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -87,7 +87,8 @@
     this.follower =
         LogFollower.fromTail(
             context, STREAM, TAIL_RECORDS, settings.follower(), new RecordApplier());
-    this.snapshotTimer = new SnapshotTimer(settings.recordsPerSnapshot(), context.nowMs());
+    this.snapshotTimer =
+        new SnapshotTimer(settings.recordsPerSnapshot(), context.nowMs(), context.random());
     var unused =
         context.metrics().gauge("config.version", () -> () -> current().config().version());
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/SnapshotTimer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/SnapshotTimer.java
@@ -1,6 +1,6 @@
 package org.hickorymoor.daemon.config;
 
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 
 /**
  * Says when the next snapshot is due.
@@ -20,14 +20,16 @@
   private static final long FIRST_SNAPSHOT_MS = 10_000;
 
   private final int recordsPerSnapshot;
+  private final DoubleSupplier random;
   private double jitter;
   private boolean seen;
   private long sinceMs;
   private int publications;
 
-  SnapshotTimer(int recordsPerSnapshot, long nowMs) {
+  SnapshotTimer(int recordsPerSnapshot, long nowMs, DoubleSupplier random) {
     this.recordsPerSnapshot = recordsPerSnapshot;
     this.sinceMs = nowMs;
+    this.random = random;
     drawJitter();
   }
 
@@ -58,6 +60,6 @@
   }
 
   private void drawJitter() {
-    jitter = ThreadLocalRandom.current().nextDouble();
+    jitter = random.getAsDouble();
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/stream/GroupAppender.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/stream/GroupAppender.java
@@ -88,7 +88,7 @@
     this.appends = context.metrics().meter("stream." + stream + ".appends");
     this.failures = context.metrics().meter("stream." + stream + ".appendFailures");
     this.entriesIn = context.metrics().meter("stream." + stream + ".entries");
-    this.backOff = new BackOff(settings.minBackOffMs(), settings.maxBackOffMs());
+    this.backOff = new BackOff(settings.minBackOffMs(), settings.maxBackOffMs(), context.random());
   }
 
   /** Starts appending. Has no effect on an appender that runs. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/stream/LogFollower.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/stream/LogFollower.java
@@ -83,7 +83,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.reads = context.metrics().meter("stream." + stream + ".reads");
     this.failures = context.metrics().meter("stream." + stream + ".readFailures");
-    this.backOff = new BackOff(settings.minBackOffMs(), settings.maxBackOffMs());
+    this.backOff = new BackOff(settings.minBackOffMs(), settings.maxBackOffMs(), context.random());
     this.status = new FollowerStatus(State.OUT, context.nowMs(), false, 0, fromOffset, fromOffset);
   }
 
@@ -225,7 +225,7 @@
       return;
     }
     StreamGap gap = new StreamGap(nextOffset, offset);
-    logger.atWarning().log("stream: %s lost offsets %s to %s", stream, nextOffset, offset - 1);
+    logger.atInfo().log("stream: %s has no offsets %s to %s", stream, nextOffset, offset - 1);
     moveTo(offset);
     tell(() -> listener.onGap(gap));
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/stream/StreamContext.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/stream/StreamContext.java
@@ -4,6 +4,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.hickorymoor.daemon.port.LogPort;
 
@@ -14,9 +16,14 @@
  * @param executor runs timers, listeners and completions; the caller stops it, after the services
  * @param clockMs monotonic time in ms
  * @param metrics where counters are registered
+ * @param random draws jitter, from 0 to below 1
  */
 public record StreamContext(
-    LogPort log, ScheduledExecutorService executor, LongSupplier clockMs, MetricRegistry metrics) {
+    LogPort log,
+    ScheduledExecutorService executor,
+    LongSupplier clockMs,
+    MetricRegistry metrics,
+    DoubleSupplier random) {
 
   /** Rejects absent parts. */
   public StreamContext {
@@ -24,6 +31,23 @@
     requireNonNull(executor, "executor");
     requireNonNull(clockMs, "clockMs");
     requireNonNull(metrics, "metrics");
+    requireNonNull(random, "random");
+  }
+
+  /**
+   * Makes a context with jitter that no seed fixes.
+   *
+   * @param log the platform's log
+   * @param executor runs timers, listeners and completions
+   * @param clockMs monotonic time in ms
+   * @param metrics where counters are registered
+   */
+  public StreamContext(
+      LogPort log,
+      ScheduledExecutorService executor,
+      LongSupplier clockMs,
+      MetricRegistry metrics) {
+    this(log, executor, clockMs, metrics, () -> ThreadLocalRandom.current().nextDouble());
   }
 
   /**
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/config/ConfigWorld.java
@@ -0,0 +1,164 @@
+package org.hickorymoor.daemon.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.stream.AppendBudget;
+import org.hickorymoor.daemon.stream.FakeLog;
+import org.hickorymoor.daemon.stream.FakeLog.Fault;
+import org.hickorymoor.daemon.stream.VirtualTime;
+import org.hickorymoor.domain.config.AcceptedPublication;
+import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
+import org.hickorymoor.domain.config.ConfigState;
+import org.hickorymoor.protocol.config.ConfigRecordCodec;
+
+/** Some hosts, operators and a log with faults, all at random from one seed. */
+final class ConfigWorld {
+
+  private static final int HOSTS = 3;
+  private static final long SETTLE_MS = 60_000;
+  private static final ConfigServiceSettings SETTINGS =
+      new ConfigServiceSettings(ConfigServiceSettings.DEFAULT.follower(), 2_000, 1_000, 1_000, 32);
+  private static final Fault[] FAULTS = {
+    Fault.REFUSED, Fault.REPLY_LOST, Fault.REPLY_LOST_THEN_OUT, Fault.REQUEST_LOST
+  };
+
+  private record Publish(
+      String id, long expectedVersion, CompletableFuture<PublishResult> result) {}
+
+  private final Random random;
+  private final FakeLog log = new FakeLog();
+  private final VirtualTime time = new VirtualTime();
+  private final List<ConfigService> hosts = new ArrayList<>();
+  private final List<Long> versions = new ArrayList<>();
+  private final List<Publish> publishes = new ArrayList<>();
+
+  ConfigWorld(long seed) {
+    random = new Random(seed);
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(newHost());
+      versions.add(0L);
+    }
+  }
+
+  /** Does one thing at random and lets some time pass. */
+  void act() {
+    int host = random.nextInt(HOSTS);
+    switch (random.nextInt(10)) {
+      case 0, 1, 2, 3 -> publish(hosts.get(host));
+      case 4 -> log.failAppends(FAULTS[random.nextInt(FAULTS.length)]);
+      case 5 -> log.setOut(random.nextInt(3) == 0);
+      case 6 -> restart(host);
+      case 7 -> repeat(hosts.get(host));
+      case 8 -> {
+        ConfigService to = hosts.get(random.nextInt(HOSTS));
+        to.offer(hosts.get(host).recordsAfter(to.status().appliedOffset()));
+      }
+      default -> dropRecordsBeforeSnapshot();
+    }
+    time.advance(random.nextInt(1500));
+  }
+
+  /** Ends the faults and gives the hosts time to catch up. */
+  void settle() {
+    log.setOut(false);
+    time.advance(SETTLE_MS);
+  }
+
+  private void publish(ConfigService host) {
+    publish(host, "id" + publishes.size(), host.current().config().version());
+  }
+
+  private void publish(ConfigService host, String id, long expectedVersion) {
+    String body =
+        "{\"schemaVersion\":2,\"workers\":{\"defaultLimit\":{\"sharePercent\":"
+            + random.nextInt(100)
+            + "}}}";
+    var result = host.publish(body, expectedVersion, "ada", id);
+    publishes.add(new Publish(id, expectedVersion, result));
+  }
+
+  private void repeat(ConfigService host) {
+    if (!publishes.isEmpty()) {
+      Publish earlier = publishes.get(random.nextInt(publishes.size()));
+      publish(host, earlier.id(), earlier.expectedVersion());
+    }
+  }
+
+  private void restart(int host) {
+    hosts.get(host).stop();
+    hosts.set(host, newHost());
+    versions.set(host, 0L);
+  }
+
+  private void dropRecordsBeforeSnapshot() {
+    List<String> records = log.records(ConfigService.STREAM);
+    for (int offset = records.size() - 1; offset >= 0; offset--) {
+      if (ConfigRecordCodec.decode(records.get(offset)) instanceof Snapshot snapshot) {
+        log.retainFrom(ConfigService.STREAM, (int) snapshot.asOfOffset() + 1);
+        return;
+      }
+    }
+  }
+
+  private ConfigService newHost() {
+    AppendBudget budget = new AppendBudget(10, 10, time::nowMs);
+    ConfigService host =
+        new ConfigService(time.context(log, random.nextLong()), time::nowMs, budget, SETTINGS);
+    host.start();
+    return host;
+  }
+
+  /** Checks that no host has gone back to an older version. */
+  void checkNoneWentBack() {
+    for (int i = 0; i < HOSTS; i++) {
+      long version = hosts.get(i).current().config().version();
+      assertThat(version).isAtLeast(versions.get(i));
+      versions.set(i, version);
+    }
+  }
+
+  /** Checks that hosts agree and that operators were told the truth. */
+  void checkAgreement() {
+    ConfigState reference = new ConfigState();
+    Map<String, AcceptedPublication> accepted = new HashMap<>();
+    long offset = 0;
+    for (String data : log.records(ConfigService.STREAM)) {
+      reference.apply(offset, ConfigRecordCodec.decode(data));
+      reference.history().forEach(one -> accepted.put(one.id(), one));
+      offset++;
+    }
+    for (ConfigService host : hosts) {
+      assertThat(host.ready()).isTrue();
+      assertThat(host.current().config()).isEqualTo(reference.config());
+      assertThat(host.current().offset()).isEqualTo(reference.configOffset());
+      assertThat(host.history()).isEqualTo(reference.history());
+    }
+    publishes.forEach(publish -> check(publish, accepted));
+  }
+
+  private void check(Publish publish, Map<String, AcceptedPublication> accepted) {
+    assertThat(publish.result().isDone()).isTrue();
+    PublishResult result = publish.result().join();
+    AcceptedPublication won = accepted.get(publish.id());
+    if (result instanceof PublishResult.Accepted told) {
+      assertThat(won).isNotNull();
+      assertThat(told.version()).isEqualTo(won.version());
+      assertThat(told.offset()).isEqualTo(won.offset());
+    } else if (result instanceof PublishResult.Conflict) {
+      assertWithMessage("conflict of %s", publish.id()).that(won).isNull();
+    } else if (result instanceof PublishResult.NotPublished && calls(publish) == 1) {
+      assertWithMessage("not published, %s", publish.id()).that(won).isNull();
+    }
+  }
+
+  private long calls(Publish publish) {
+    return publishes.stream().filter(other -> other.id().equals(publish.id())).count();
+  }
+}
--- a/daemon/src/test/java/org/hickorymoor/daemon/stream/FakeLog.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/stream/FakeLog.java
@@ -23,6 +23,8 @@
     REFUSED,
     /** It takes effect and the reply is lost. */
     REPLY_LOST,
+    /** It takes effect, the reply is lost, and the log is out from then on. */
+    REPLY_LOST_THEN_OUT,
     /** It does not take effect and no reply comes. */
     REQUEST_LOST,
     /** Its reply is held back until {@link #releaseHeld}. */
@@ -81,7 +83,8 @@
     }
     stream(stream).add(data);
     long offset = stream(stream).size() - 1L;
-    if (fault == Fault.REPLY_LOST) {
+    out = fault == Fault.REPLY_LOST_THEN_OUT;
+    if (out || fault == Fault.REPLY_LOST) {
       return failure(PlatformException.Type.NO_ANSWER);
     }
     CompletableFuture<Long> reply = new CompletableFuture<>();
