--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -166,15 +166,6 @@
     store.addListener(listener);
   }
 
-  /**
-   * Returns the newest publications that came into force.
-   *
-   * @return oldest first
-   */
-  public List<AcceptedPublication> history() {
-    return store.read(ConfigState::history);
-  }
-
   /**
    * Publishes a configuration.
    *
