--- a/daemon/src/test/java/org/hickorymoor/daemon/peer/PeerClientTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/peer/PeerClientTest.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.daemon.peer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.util.concurrent.Uninterruptibles.sleepUninterruptibly;
 import static java.util.Objects.requireNonNull;
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -177,6 +178,19 @@
     assertThat(peers.clientCount("connected")).isEqualTo(1);
   }
 
+  @Test
+  void silenceDuringOwnPauseClosesNoConnection() throws Exception {
+    PeerServer server = peers.server(Peers.patientSettings(), Peers.done());
+    PeerClient client = peers.client(Peers.settings().withHeartbeat(50, 300));
+    CompletableFuture<PeerReply> paused =
+        call(client, server.address())
+            .whenComplete((reply, failure) -> sleepUninterruptibly(Duration.ofSeconds(1)));
+    Peers.await(paused); // The client's I/O thread stood still meanwhile.
+
+    assertThat(Peers.await(call(client, server.address()))).isEqualTo(new Done());
+    assertThat(peers.clientCount("connected")).isEqualTo(1);
+  }
+
   @Test
   void pendingCallsFailTypedWhenTheServerDies() throws Exception {
     PeerServer server = peers.server(Peers.settings(), this::hold);
