--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/BodyVersion.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/BodyVersion.java
@@ -73,7 +73,7 @@
       return body;
     }
     if (body.length == 0) {
-      throw malformed("expected a body, got none");
+      throw FrameException.malformed("expected a body, got none");
     }
     if (body[0] == PLAIN) {
       return Arrays.copyOfRange(body, PREFIX_BYTES, body.length);
@@ -81,7 +81,7 @@
     if (body[0] == DEFLATED) {
       return inflate(body, maxBytes);
     }
-    throw malformed("expected 0 or 1 as first byte of the body, got " + body[0]);
+    throw FrameException.malformed("expected 0 or 1 as first byte of the body, got " + body[0]);
   }
 
   private static byte[] prefixed(byte prefix, byte[] bytes) {
@@ -115,7 +115,7 @@
       while (!inflater.finished()) {
         int inflatedBytes = inflater.inflate(chunk);
         if (inflatedBytes == 0 && !inflater.finished()) {
-          throw malformed("expected more of a deflated body, got its end");
+          throw FrameException.malformed("expected more of a deflated body, got its end");
         }
         if (out.size() + inflatedBytes > maxBytes) {
           throw new FrameException(
@@ -124,12 +124,8 @@
         out.write(chunk, 0, inflatedBytes);
       }
     } catch (DataFormatException e) {
-      throw malformed("expected a deflated body: " + e.getMessage());
+      throw FrameException.malformed("expected a deflated body: " + e.getMessage());
     }
     return out.toByteArray();
   }
-
-  private static FrameException malformed(String message) {
-    return new FrameException(FrameErrorType.MALFORMED, 0, message);
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/ClientConnection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ClientConnection.java
@@ -119,9 +119,7 @@
       case REPLY -> onReply(frame);
       case ERROR -> onError(frame);
       case GO_AWAY -> onGoAway(frame);
-      default ->
-          throw new FrameException(
-              FrameErrorType.MALFORMED, 0, "expected a reply, got " + frame.kind());
+      default -> throw FrameException.malformed("expected a reply, got " + frame.kind());
     }
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Frame.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Frame.java
@@ -63,24 +63,21 @@
    */
   static Frame decode(ByteBuffer in) throws FrameException {
     if (in.remaining() < FIXED_BYTES) {
-      throw malformed("expected at least " + FIXED_BYTES + " bytes, got " + in.remaining());
+      throw FrameException.malformed(
+          "expected at least " + FIXED_BYTES + " bytes, got " + in.remaining());
     }
     final int version = Byte.toUnsignedInt(in.get());
     byte code = in.get();
     FrameKind kind = FrameKind.ofCode(code);
     if (kind == null) {
-      throw malformed("expected a known frame kind, got " + code);
+      throw FrameException.malformed("expected a known frame kind, got " + code);
     }
     if (kind.hasId() && in.remaining() < ID_BYTES) {
-      throw malformed("expected an id in a frame of kind " + kind + ", got its end");
+      throw FrameException.malformed("expected an id in a frame of kind " + kind + ", got its end");
     }
     int id = kind.hasId() ? in.getInt() : 0;
     byte[] body = new byte[in.remaining()];
     in.get(body);
     return new Frame(version, kind, id, body);
   }
-
-  private static FrameException malformed(String message) {
-    return new FrameException(FrameErrorType.MALFORMED, 0, message);
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/FrameError.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/FrameError.java
@@ -37,7 +37,7 @@
       TaggedCodec.expectArray(in, FIELDS);
       return new FrameError(Fields.readEnum(in, FrameErrorType.class), in.unpackString());
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
-      throw new FrameException(FrameErrorType.MALFORMED, 0, "expected a readable error: " + e);
+      throw FrameException.malformed("expected a readable error: " + e);
     }
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/FrameException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/FrameException.java
@@ -21,6 +21,10 @@
     this.id = id;
   }
 
+  static FrameException malformed(String message) {
+    return new FrameException(FrameErrorType.MALFORMED, 0, message);
+  }
+
   FrameErrorType type() {
     return type;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/FrameReader.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/FrameReader.java
@@ -51,8 +51,7 @@
     }
     int lengthBytes = ByteBuffer.wrap(partial).getInt();
     if (lengthBytes < Frame.FIXED_BYTES) {
-      throw new FrameException(
-          FrameErrorType.MALFORMED, 0, "expected a length of at least 2, got " + lengthBytes);
+      throw FrameException.malformed("expected a length of at least 2, got " + lengthBytes);
     }
     if (lengthBytes > maxFrameBytes - Frame.LENGTH_BYTES) {
       return oversizeHeaderBytes(lengthBytes);
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Hello.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Hello.java
@@ -34,15 +34,12 @@
       int size = in.unpackArrayHeader();
       int maxVersion = in.unpackInt();
       if (size < FIELDS || maxVersion < BodyVersion.OLDEST) {
-        throw malformed("expected 3 fields and a version, got " + size + " and " + maxVersion);
+        throw FrameException.malformed(
+            "expected 3 fields and a version, got " + size + " and " + maxVersion);
       }
       return new Hello(maxVersion, in.unpackString(), in.unpackString());
     } catch (IOException | MessagePackException e) {
-      throw malformed("expected a readable hello: " + e);
+      throw FrameException.malformed("expected a readable hello: " + e);
     }
   }
-
-  private static FrameException malformed(String message) {
-    return new FrameException(FrameErrorType.MALFORMED, 0, message);
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/TaggedCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/TaggedCodec.java
@@ -75,15 +75,16 @@
       int tag = in.unpackInt();
       Entry<T> entry = byTag.get(tag);
       if (entry == null || size != entry.fieldCount() + 1) {
-        throw malformed("expected a known tag and its fields, got tag " + tag + " size " + size);
+        throw FrameException.malformed(
+            "expected a known tag and its fields, got tag " + tag + " size " + size);
       }
       T value = entry.reader().read(in);
       if (in.hasNext()) {
-        throw malformed("expected the end of the body, got more after tag " + tag);
+        throw FrameException.malformed("expected the end of the body, got more after tag " + tag);
       }
       return value;
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
-      throw malformed("expected a readable body: " + e);
+      throw FrameException.malformed("expected a readable body: " + e);
     }
   }
 
@@ -94,8 +95,4 @@
       throw new MessageFormatException("expected an array of " + wanted + ", got " + size);
     }
   }
-
-  private static FrameException malformed(String message) {
-    return new FrameException(FrameErrorType.MALFORMED, 0, message);
-  }
 }
