--- a/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
@@ -66,6 +67,7 @@
   private static final long TICK_MS = 25;
   private static final long STAGGER_MS = 300;
   private static final int INCARNATION_RADIX = 36;
+  private static final int PEER_THREADS = 2;
   private static final int MAX_AUDIT_ENTRIES = 5_000;
   private static final long MIN_PAUSED_AFTER_MS = 1_000;
   private static final long HEARTBEATS_MISSED = 4;
@@ -76,6 +78,7 @@
   private final String incarnation;
   private final MetricRegistry metrics = new MetricRegistry();
   private final ScheduledExecutorService executor;
+  private final ExecutorService peerExecutor;
   private final PlatformHttp platform;
   private final Neighbours neighbours;
   private final ConfigService config;
@@ -103,6 +106,7 @@
     SplittableRandom random = new SplittableRandom(seed);
     this.incarnation = Long.toString(random.nextLong(Integer.MAX_VALUE), INCARNATION_RADIX);
     this.executor = Executors.newSingleThreadScheduledExecutor(Daemon::daemonThread);
+    this.peerExecutor = Executors.newFixedThreadPool(PEER_THREADS, Daemon::daemonThread);
     DaemonSettings.Times times = settings.times();
     this.platform = new PlatformHttp(times.callTimeoutMs());
     this.hostList = new HttpHostListAdapter(platform, settings.hostsAddress());
@@ -145,7 +149,8 @@
     PeerRequests requests =
         new PeerRequests(
             settings.domain(), this::status, this::heard, config, handler, neighbours, router);
-    this.peerServer = new PeerServer(settings.peerBind(), requests, peerSettings, metrics);
+    this.peerServer =
+        new PeerServer(settings.peerBind(), requests, peerSettings, metrics, peerExecutor);
     JobService jobs = new JobService(settings.hostId(), incarnation, settings.domain(), router);
     this.http =
         HttpInterfaces.of(
@@ -273,6 +278,7 @@
     config.stop();
     audit.stop();
     platform.stop();
+    peerExecutor.shutdown();
     executor.shutdownNow();
     logger.atInfo().log("daemon: Host %s has stopped.", settings.hostId());
   }
