--- a/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
@@ -40,6 +40,7 @@
 import org.hickorymoor.daemon.settings.DaemonSettings.SchedulerKind;
 import org.hickorymoor.daemon.stream.AppendBudget;
 import org.hickorymoor.daemon.stream.StreamContext;
+import org.hickorymoor.domain.config.ClusterConfig;
 import org.hickorymoor.domain.lease.HoldSettings;
 import org.hickorymoor.domain.policy.CellScheduler;
 import org.hickorymoor.domain.policy.FirstFitScheduler;
@@ -116,18 +117,18 @@
             new HttpLogAdapter(platform, settings.logAddress()), executor, clockMs, metrics);
     AppendBudget budget =
         new AppendBudget(settings.appendsPerSecond(), settings.appendsPerSecond(), clockMs);
+    this.config =
+        new ConfigService(
+            streams, System::currentTimeMillis, budget, ConfigServiceSettings.DEFAULT);
     this.journal =
         new LogJournal(
             settings.hostId(),
             settings.domain(),
             incarnation,
-            JournalSettings.DEFAULT,
+            this::journalSettings,
             streams,
             budget,
             System::currentTimeMillis);
-    this.config =
-        new ConfigService(
-            streams, System::currentTimeMillis, budget, ConfigServiceSettings.DEFAULT);
     this.audit = new AuditTrail(streams, incarnation, budget, MAX_AUDIT_ENTRIES);
     this.coordinator =
         new Coordinator(
@@ -164,6 +165,11 @@
                 this::cell, () -> MetricsView.of(metrics), () -> serving && config.ready()));
   }
 
+  private JournalSettings journalSettings() {
+    ClusterConfig inForce = config.current().config();
+    return new JournalSettings(inForce.dedupeWindowMs(), inForce.logRetentionMs());
+  }
+
   private Coordinator.Policies policies(SplittableRandom random) {
     boolean plain = settings.scheduler() == SchedulerKind.FIRST_FIT;
     Supplier<PolicySettings> inForce =
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -154,6 +154,9 @@
         context.scheduler().workerSeen(profile, context.clockMs().getAsLong());
       }
       runner.synced(agent, sentMs, reply);
+      if (profile != null && profile.leaving()) {
+        runner.moveServices(agent.workerId());
+      }
     }
     pump();
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/TaskRunner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/TaskRunner.java
@@ -559,6 +559,13 @@
     context.scheduler().submit(job.jobId(), job.spec(), List.of(attempt), nowMs());
   }
 
+  /** Stops the services on a worker that is leaving; once stopped, they start elsewhere. */
+  void moveServices(String workerId) {
+    jobs.on(workerId).values().stream()
+        .filter(entry -> entry.job().isService() && entry.task().phase() == Phase.RUNNING)
+        .forEach(entry -> stop(entry.task()));
+  }
+
   /** Looks for tasks that have lapsed with their workers out of reach, and for missed deadlines. */
   void expire(long nowMs) {
     for (String workerId : jobs.workersWithTasks()) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/journal/JournalSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/journal/JournalSettings.java
@@ -10,9 +10,6 @@
  */
 public record JournalSettings(long dedupeWindowMs, long logRetentionMs) {
 
-  /** A day for both. */
-  public static final JournalSettings DEFAULT = new JournalSettings(86_400_000, 86_400_000);
-
   /** Checks the ranges. */
   public JournalSettings {
     checkArgument(dedupeWindowMs > 0, "dedupeWindowMs must be positive, got %s", dedupeWindowMs);
--- a/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickorymoor.daemon.coordinator.JobJournal;
 import org.hickorymoor.daemon.coordinator.JournalException;
 import org.hickorymoor.daemon.coordinator.JournalException.Type;
@@ -41,12 +42,13 @@
   private static final String JOB_STREAM_PREFIX = "jobs.";
   private static final long APPEND_TIMEOUT_MS = 3_000;
   private static final long FRESH_MS = 4_000;
+  private static final long CHECK_MS = 500;
   private static final int MAX_FINISHED = 20_000;
   private static final int REAPPENDS_PER_RETENTION = 4;
 
   private final String hostId;
   private final String domain;
-  private final JournalSettings settings;
+  private final Supplier<JournalSettings> settings;
   private final LongSupplier wallClockMs;
   private final StreamContext context;
   private final LedgerStream<KeyLedger> keys;
@@ -54,6 +56,7 @@
   private volatile String termId = "";
   private volatile boolean termInForce;
   private volatile boolean beginning;
+  private volatile long lastKeepAliveMs;
 
   /**
    * Makes a journal that is not started.
@@ -61,7 +64,7 @@
    * @param hostId this host
    * @param domain failure domain
    * @param incarnation changes with every start of the process
-   * @param settings windows
+   * @param settings windows in force
    * @param context the log, timers and clock
    * @param budget limit on appends, shared by the process
    * @param wallClockMs wall-clock time in ms since 1970
@@ -70,7 +73,7 @@
       String hostId,
       String domain,
       String incarnation,
-      JournalSettings settings,
+      Supplier<JournalSettings> settings,
       StreamContext context,
       AppendBudget budget,
       LongSupplier wallClockMs) {
@@ -79,13 +82,14 @@
     this.settings = settings;
     this.wallClockMs = wallClockMs;
     this.context = context;
+    this.lastKeepAliveMs = context.nowMs();
     this.keys =
         new LedgerStream<>(
             context,
             KEY_STREAM,
             incarnation,
             budget,
-            new KeyLedger(settings.dedupeWindowMs()),
+            new KeyLedger(() -> settings.get().dedupeWindowMs()),
             (ledger, entry) -> ledger.apply(LedgerJson.readClaim(entry)));
     this.jobs =
         new LedgerStream<>(
@@ -101,10 +105,10 @@
   public void start() {
     keys.start();
     jobs.start();
-    long periodMs = Math.max(1, settings.logRetentionMs() / REAPPENDS_PER_RETENTION);
     context
         .executor()
-        .scheduleWithFixedDelay(this::keepAlive, periodMs, periodMs, TimeUnit.MILLISECONDS);
+        .scheduleWithFixedDelay(
+            this::considerKeepAlive, CHECK_MS, CHECK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Stops; what waits to be appended fails. */
@@ -230,6 +234,14 @@
     return typed(jobs.append(LedgerJson.write(entry)).thenAccept(offset -> {}));
   }
 
+  private void considerKeepAlive() {
+    long periodMs = settings.get().logRetentionMs() / REAPPENDS_PER_RETENTION;
+    if (context.nowMs() >= lastKeepAliveMs + periodMs) {
+      lastKeepAliveMs = context.nowMs();
+      keepAlive();
+    }
+  }
+
   /** Appends again what must outlive the log's retention, and drops what is too old. */
   private void keepAlive() {
     long nowMs = wallClockMs.getAsLong();
@@ -237,7 +249,7 @@
     if (!termInForce) {
       return;
     }
-    long beforeMs = nowMs - settings.logRetentionMs() / REAPPENDS_PER_RETENTION;
+    long beforeMs = nowMs - settings.get().logRetentionMs() / REAPPENDS_PER_RETENTION;
     List<KeyClaim> claims = keys.read(ledger -> ledger.claimsOf(domain, beforeMs));
     List<LedgerEntry> entries = jobs.read(ledger -> ledger.snapshot(beforeMs));
     claims.forEach(claim -> keys.append(LedgerJson.writeClaim(claim)));
--- a/domain/src/main/java/org/hickorymoor/domain/lease/WorkerHold.java
+++ b/domain/src/main/java/org/hickorymoor/domain/lease/WorkerHold.java
@@ -90,6 +90,7 @@
     state = State.FREE;
     leaseTaskId = null;
     authorityUntilMs = NEVER_MS;
+    commandLimitMs = 0;
   }
 
   /** Gives the worker up: authority ends at once, and the lease is to be stopped. */
--- a/domain/src/main/java/org/hickorymoor/domain/ledger/KeyLedger.java
+++ b/domain/src/main/java/org/hickorymoor/domain/ledger/KeyLedger.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.hickorymoor.domain.job.RequestKey;
 
 /**
@@ -14,15 +15,15 @@
  */
 public final class KeyLedger {
 
-  private final long windowMs;
+  private final LongSupplier windowMs;
   private final Map<RequestKey, KeyClaim> holders = new HashMap<>();
 
   /**
    * Makes a ledger without claims.
    *
-   * @param windowMs time for which a claim lasts
+   * @param windowMs time for which a claim lasts, as configured now
    */
-  public KeyLedger(long windowMs) {
+  public KeyLedger(LongSupplier windowMs) {
     this.windowMs = windowMs;
   }
 
@@ -33,7 +34,7 @@
    */
   public void apply(KeyClaim claim) {
     KeyClaim holder = holders.get(claim.request());
-    if (holder == null || claim.atMs() >= holder.atMs() + windowMs) {
+    if (holder == null || claim.atMs() >= holder.atMs() + windowMs.getAsLong()) {
       holders.put(claim.request(), claim);
     }
   }
@@ -67,7 +68,7 @@
    * @param nowMs wall-clock time now
    */
   public void forget(long nowMs) {
-    holders.values().removeIf(claim -> nowMs >= claim.atMs() + windowMs);
+    holders.values().removeIf(claim -> nowMs >= claim.atMs() + windowMs.getAsLong());
   }
 
   /**
--- /dev/null
+++ b/domain/src/test/java/org/hickorymoor/domain/lease/HoldSimulation.java
@@ -0,0 +1,187 @@
+package org.hickorymoor.domain.lease;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.hickorymoor.domain.lease.WorkerHold.State;
+
+/**
+ * Three hosts that contend for one worker, with calls that are delayed, lost, answered late or not
+ * at all, and hosts that pause between any two steps. All on one seeded clock.
+ */
+final class HoldSimulation {
+
+  private static final HoldSettings SETTINGS = new HoldSettings(1_000, 50);
+  private static final int HOSTS = 3;
+  private static final long END_MS = 60_000;
+  private static final long TIMEOUT_MS = 300;
+
+  /** One period in which a host held the worker: from its list to the end of its commands. */
+  record Period(int host, long listedMs, long commandLimitMs) {}
+
+  private record Event(long atMs, long order, Runnable action) {}
+
+  private final SplittableRandom random;
+  private final boolean hostsLookAtOthers;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+  private final Map<String, Long> leases = new HashMap<>();
+  private final List<Period> periods = new ArrayList<>();
+  private long nowMs;
+  private long order;
+
+  HoldSimulation(long seed, boolean hostsLookAtOthers) {
+    this.random = new SplittableRandom(seed);
+    this.hostsLookAtOthers = hostsLookAtOthers;
+  }
+
+  List<Period> run() {
+    for (int host = 0; host < HOSTS; host++) {
+      new Host(host).later(random.nextLong(500));
+    }
+    while (!events.isEmpty() && nowMs < END_MS) {
+      Event event = events.remove();
+      nowMs = event.atMs();
+      event.action().run();
+    }
+    return periods;
+  }
+
+  private void at(long delayMs, Runnable action) {
+    events.add(new Event(nowMs + delayMs, order++, action));
+  }
+
+  /** Usually short, now and then longer than a lease. */
+  private long delayMs() {
+    return random.nextInt(20) == 0 ? random.nextLong(3_000) : random.nextLong(60);
+  }
+
+  private boolean lost() {
+    return random.nextInt(12) == 0;
+  }
+
+  private final class Host {
+    private final int number;
+    private WorkerHold hold = new WorkerHold(SETTINGS);
+    private int placed;
+    private long call;
+    private long heldSinceMs = -1;
+
+    private Host(int number) {
+      this.number = number;
+    }
+
+    private void later(long delayMs) {
+      at(delayMs, this::step);
+    }
+
+    private void step() {
+      switch (hold.state()) {
+        case FREE -> place();
+        case PLACED, HELD -> sync();
+        default -> release();
+      }
+    }
+
+    private void place() {
+      String id = number + ":" + placed++;
+      hold.placed(id);
+      placedMs = nowMs;
+      call(() -> leases.put(id, nowMs + SETTINGS.leaseMs()), () -> later(delayMs()));
+    }
+
+    private long placedMs;
+
+    private void sync() {
+      String id = hold.leaseTaskId();
+      boolean first = hold.state() == State.PLACED;
+      long sentMs = first ? placedMs : nowMs;
+      long notAfterMs = first ? Long.MAX_VALUE : hold.commandLimitMs();
+      HoldView[] view = new HoldView[1];
+      long[] listedMs = new long[1];
+      call(
+          () -> {
+            listedMs[0] = nowMs;
+            view[0] = view(id, first, notAfterMs);
+          },
+          () -> {
+            if (view[0] != null) {
+              listed(sentMs, view[0], listedMs[0]);
+            } else if (first) {
+              hold.withdraw();
+            }
+            later(delayMs());
+          });
+    }
+
+    /** What the worker does on a sync: renew what is alive, then list. */
+    private HoldView view(String id, boolean first, long notAfterMs) {
+      leases.values().removeIf(until -> until <= nowMs);
+      if (!first && nowMs <= notAfterMs) {
+        leases.computeIfPresent(id, (key, until) -> nowMs + SETTINGS.leaseMs());
+      }
+      boolean own = leases.containsKey(id);
+      boolean others = hostsLookAtOthers && leases.keySet().stream().anyMatch(k -> !k.equals(id));
+      return new HoldView(own, leases.getOrDefault(id, 0L), others);
+    }
+
+    private void listed(long sentMs, HoldView view, long listedMs) {
+      boolean held = hold.state() == State.HELD;
+      hold.listed(sentMs, view);
+      if (hold.state() == State.HELD) {
+        heldSinceMs = held ? heldSinceMs : listedMs;
+        periods.add(new Period(number, heldSinceMs, hold.commandLimitMs()));
+      } else if (hold.state() == State.FREE) {
+        hold = new WorkerHold(SETTINGS);
+      }
+    }
+
+    private void release() {
+      String id = hold.leaseTaskId();
+      boolean[] done = new boolean[1];
+      call(
+          () -> {
+            leases.remove(id);
+            done[0] = true;
+          },
+          () -> {
+            if (done[0]) {
+              hold.gone();
+            }
+            later(delayMs());
+          });
+    }
+
+    /** Carries a call to the worker and its answer back; either may be lost or late. */
+    private void call(Runnable atWorker, Runnable answered) {
+      long mine = ++call;
+      Runnable once =
+          () -> {
+            if (mine == call) {
+              call++;
+              answered.run();
+            }
+          };
+      if (!lost()) {
+        at(
+            delayMs(),
+            () -> {
+              // An answer that comes after the timeout is dropped, like one that never comes.
+              if (mine != call) {
+                atWorker.run();
+                return;
+              }
+              atWorker.run();
+              if (!lost()) {
+                at(delayMs(), once);
+              }
+            });
+      }
+      at(TIMEOUT_MS, once);
+    }
+  }
+}
--- a/domain/src/test/java/org/hickorymoor/domain/ledger/KeyLedgerTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/ledger/KeyLedgerTest.java
@@ -10,7 +10,7 @@
   private static final RequestKey KEY = new RequestKey("team", "order-1");
   private static final long WINDOW_MS = 1_000;
 
-  private final KeyLedger ledger = new KeyLedger(WINDOW_MS);
+  private final KeyLedger ledger = new KeyLedger(() -> WINDOW_MS);
 
   @Test
   void firstClaimInOffsetOrderHolds() {
