Weigh what reports say of a kind by how little is known of it

Ruled out by trial: taking unknown work for two or four times its declared size, which halved packing gains and left the overuse as it was; a larger safety factor, with no effect either.

Change: the error of a report goes to the kinds in doubt; use beyond the limit lowers the learned capacity only if it was not expected of what runs; drained workers are filled by expected sizes unless those could never fit.

--- a/bench/src/main/java/org/hickorymoor/bench/policy/Workload.java
+++ b/bench/src/main/java/org/hickorymoor/bench/policy/Workload.java
@@ -28,6 +28,9 @@
   private static final Resources ACCELERATED = new Resources(2, 1, 2_000, 4_096, 1);
   private static final double[] USE_FACTORS = {0.25, 0.5, 1, 1.5, 2.5, 4};
 
+  /** No task truly uses more of a worker than this. */
+  private static final double MAX_TASK_SHARE = 0.9;
+
   private final SplittableRandom random;
   private final long lengthMs;
   private final double load;
@@ -113,7 +116,11 @@
             kind == JobKind.SERVICE ? Spread.RACKS : Spread.NONE,
             0,
             null);
-    double useFactor = USE_FACTORS[(team + name.length()) % USE_FACTORS.length];
+    double wholeWorkers = (double) demand.cpuMillis() / WORKER.cpuMillis();
+    double useFactor =
+        Math.min(
+            MAX_TASK_SHARE / wholeWorkers,
+            USE_FACTORS[(team + name.length()) % USE_FACTORS.length]);
     arrivals.add(new Arrival(atMs, "j" + arrivals.size(), spec, runMs, useFactor));
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
@@ -86,9 +86,10 @@
     reportedAtMs = atMs;
     reported = new Resources(0, report.connections(), report.cpuMillis(), report.memoryMb(), 0);
     startedSince = Resources.NONE;
-    if (!reported.fitsIn(limit)) {
+    boolean within = reported.fitsIn(limit);
+    if (!within && !reported.fitsIn(expected(attempts, recentEnds, atMs))) {
       fall(FALL_ON_OVERUSE, nowMs);
-    } else if (wanted) {
+    } else if (within && wanted) {
       rise(nowMs);
     }
     attempts.forEach(this::started);
@@ -112,6 +113,19 @@
     }
   }
 
+  /** Returns what the attempts at the time of a report were expected to use together. */
+  private static Resources expected(
+      Collection<RunningAttempt> attempts, Collection<RunningAttempt> recentEnds, long atMs) {
+    Resources sum = Resources.NONE;
+    for (RunningAttempt attempt : attempts) {
+      sum = attempt.startedMs < atMs ? sum.plus(observable(attempt.expected)) : sum;
+    }
+    for (RunningAttempt ended : recentEnds) {
+      sum = inReport(ended, atMs) ? sum.plus(observable(ended.expected)) : sum;
+    }
+    return sum;
+  }
+
   /** Tells whether an attempt that has ended ran at the time of a report. */
   static boolean inReport(RunningAttempt ended, long atMs) {
     return ended.startedMs < atMs && ended.endedMs >= atMs;
--- a/domain/src/main/java/org/hickorymoor/domain/policy/Cell.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Cell.java
@@ -83,16 +83,32 @@
         || job.jobClass() == JobClass.URGENT;
   }
 
-  /**
-   * Tells whether a worker has room for an attempt of a job. One that was drained for the job may
-   * be given all that is declared, so that learning never keeps a job away for good.
-   */
+  /** Tells whether a worker has room for an attempt of a job. */
   boolean hasRoom(WorkerLoad worker, QueuedJob job, Resources expected) {
     if (worker.holds(job.demand(), expected)) {
       return true;
     }
-    boolean held = worker.reservation != null && worker.reservation.job() == job;
-    return held && job.demand().fitsIn(worker.free()) && worker.drainedFor(job);
+    Reservation held = worker.reservation;
+    return held != null
+        && held.job() == job
+        && job.demand().fitsIn(worker.free())
+        && worker.drainedFor(job)
+        && mayFill(worker, held, expected);
+  }
+
+  /**
+   * Tells whether a worker that was drained for a job may be given more of it than the learned
+   * capacity allows, so that learning never keeps a job away for good.
+   */
+  private static boolean mayFill(WorkerLoad worker, Reservation held, Resources expected) {
+    if (held.trustsDeclared()) {
+      return true;
+    }
+    Resources all = expected;
+    for (RunningAttempt attempt : worker.attempts.values()) {
+      all = all.plus(attempt.expected);
+    }
+    return all.fitsIn(worker.capacity());
   }
 
   /** Counts an attempt as in use. */
--- a/domain/src/main/java/org/hickorymoor/domain/policy/Reservations.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Reservations.java
@@ -93,19 +93,16 @@
     if (!queue.allows(job)) {
       return false;
     }
-    int wanted = job.allAtOnce() ? job.waiting().size() : 1;
-    List<WorkerLoad> chosen = new ArrayList<>();
-    for (WorkerLoad worker : byRoom(job)) {
-      if (wanted <= 0) {
-        break;
-      }
-      wanted -= countDrained(worker, job.demand());
-      chosen.add(worker);
+    List<WorkerLoad> chosen = choose(job, cell.expected(job));
+    boolean trustsDeclared = chosen.isEmpty();
+    if (trustsDeclared) {
+      chosen = choose(job, job.demand());
     }
-    if (wanted > 0) {
+    if (chosen.isEmpty()) {
       return false;
     }
-    Reservation reservation = new Reservation(job, chosen, nowMs + cell.settings.reservationMs());
+    long expiresMs = nowMs + cell.settings.reservationMs();
+    Reservation reservation = new Reservation(job, chosen, expiresMs, trustsDeclared);
     reservations.put(job, reservation);
     job.reservation = reservation;
     chosen.forEach(worker -> worker.reservation = reservation);
@@ -113,18 +110,29 @@
     return true;
   }
 
-  /** Returns the workers that could hold part of a job once drained, the emptiest first. */
-  private List<WorkerLoad> byRoom(QueuedJob job) {
-    return cell.ledger.workers().stream()
-        .filter(worker -> worker.open() && worker.reservation == null && !worker.health.suspect)
-        .filter(worker -> !job.avoids(worker.workerId))
-        .filter(worker -> countDrained(worker, job.demand()) > 0)
-        .sorted(Comparator.comparingDouble(Reservations::drainingShare))
-        .toList();
+  /** Returns workers that could hold a job once drained, the emptiest first; none if too few. */
+  private List<WorkerLoad> choose(QueuedJob job, Resources size) {
+    List<WorkerLoad> candidates =
+        cell.ledger.workers().stream()
+            .filter(worker -> worker.open() && worker.reservation == null)
+            .filter(worker -> !worker.health.suspect && !job.avoids(worker.workerId))
+            .filter(worker -> countDrained(worker, size) > 0)
+            .sorted(Comparator.comparingDouble(Reservations::drainingShare))
+            .toList();
+    int wanted = job.allAtOnce() ? job.waiting().size() : 1;
+    List<WorkerLoad> chosen = new ArrayList<>();
+    for (WorkerLoad worker : candidates) {
+      if (wanted <= 0) {
+        break;
+      }
+      wanted -= countDrained(worker, size);
+      chosen.add(worker);
+    }
+    return wanted > 0 ? List.of() : chosen;
   }
 
-  private static int countDrained(WorkerLoad worker, Resources demand) {
-    return Amounts.count(worker.free().plus(worker.draining()), demand);
+  private static int countDrained(WorkerLoad worker, Resources size) {
+    return Amounts.count(worker.free().plus(worker.draining()), size);
   }
 
   private static double drainingShare(WorkerLoad worker) {
--- a/domain/src/main/java/org/hickorymoor/domain/policy/SizeLearner.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/SizeLearner.java
@@ -12,6 +12,8 @@
   private static final double MOST = 0.75;
   private static final double STEP = 0.5;
   private static final double SAFETY = 1.1;
+  private static final double MIN_DOUBT = 0.02;
+
   private static final double MIN_FACTOR = 0.1;
   private static final double MAX_FACTOR = 8;
 
@@ -35,8 +37,8 @@
   }
 
   /**
-   * Takes what a worker used in. The difference from what was expected is shared out by the squares
-   * of the declared sizes, so that over many mixes of work each kind comes near its own size.
+   * Takes what a worker used in. The difference from what was expected is shared out by doubt and
+   * declared size, so that over many mixes of work each kind comes near its own size.
    *
    * @param declared declared sizes of all that ran, by kind
    * @param cpuMillis processor time that it used together
@@ -52,16 +54,19 @@
       double cpu = entry.getValue().cpuMillis();
       double memory = entry.getValue().memoryMb();
       cpuError -= cpu * kind.cpuFactor;
-      cpuNorm += cpu * cpu;
+      cpuNorm += kind.doubt * cpu * cpu;
       memoryError -= memory * kind.memoryFactor;
-      memoryNorm += memory * memory;
+      memoryNorm += kind.doubt * memory * memory;
     }
     for (Map.Entry<WorkKey, Resources> entry : declared.entrySet()) {
       Kind kind = kind(entry.getKey());
-      double cpuStep = Amounts.ratio(cpuError * entry.getValue().cpuMillis(), cpuNorm);
-      double memoryStep = Amounts.ratio(memoryError * entry.getValue().memoryMb(), memoryNorm);
-      kind.cpuFactor = clamp(kind.cpuFactor + STEP * cpuStep);
-      kind.memoryFactor = clamp(kind.memoryFactor + STEP * memoryStep);
+      double cpuGain = Amounts.ratio(kind.doubt * entry.getValue().cpuMillis(), cpuNorm);
+      double memoryGain = Amounts.ratio(kind.doubt * entry.getValue().memoryMb(), memoryNorm);
+      kind.cpuFactor = clamp(kind.cpuFactor + STEP * cpuGain * cpuError);
+      kind.memoryFactor = clamp(kind.memoryFactor + STEP * memoryGain * memoryError);
+      kind.useReported = true;
+      double share = cpuGain * entry.getValue().cpuMillis();
+      kind.doubt = Math.max(MIN_DOUBT, kind.doubt * (1 - STEP * share));
     }
   }
 
@@ -80,7 +85,7 @@
   /** Returns what a task is expected to use, never less than declared. */
   Resources expected(WorkKey key, Resources declared) {
     Kind kind = kinds.get(key);
-    if (kind == null) {
+    if (kind == null || !kind.useReported) {
       return declared;
     }
     double cpu = Math.max(1, kind.cpuFactor * SAFETY);
@@ -114,6 +119,8 @@
     final RecentSamples runMs = new RecentSamples();
     double cpuFactor = 1;
     double memoryFactor = 1;
+    double doubt = 1;
+    boolean useReported;
     String succeededOn = "";
     boolean succeededOnSeveral;
   }
