--- a/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/PolicyScheduler.java
@@ -3,13 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.hickorymoor.domain.Resources;
-import org.hickorymoor.domain.job.JobClass;
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.Reason;
 import org.hickorymoor.domain.job.ReasonType;
@@ -35,19 +32,16 @@
  */
 public final class PolicyScheduler implements CellScheduler {
 
-  private static final long AVOIDANCE_DELAY_MS = 500;
-
   private final Cell cell;
   private final FairQueue queue;
-  private final Placement placement;
   private final Reservations reservations;
   private final Suspicion suspicion;
+  private final Starter starter;
   private final Preemption preemption;
   private final AdmissionControl admission;
   private final Explainer explainer;
   private final DelayedAttempts delayed = new DelayedAttempts();
   private final Map<String, QueuedJob> jobs = new HashMap<>();
-  private final Set<QueuedJob> unplaceable = new LinkedHashSet<>();
   private final List<Decision> givenUp = new ArrayList<>();
   private final RandomGenerator random;
   private RetryRules retryRules;
@@ -62,9 +56,9 @@
     this.random = random;
     cell = new Cell(settings);
     queue = new FairQueue(settings);
-    placement = new Placement(cell);
     reservations = new Reservations(cell, queue);
     suspicion = new Suspicion(cell);
+    starter = new Starter(cell, queue, reservations, suspicion, delayed, this::giveUp);
     preemption = new Preemption(cell, queue);
     admission = new AdmissionControl(cell, queue);
     explainer = new Explainer(cell, queue);
@@ -81,7 +75,7 @@
     cell.settings = settings;
     queue.setSettings(settings);
     retryRules = retryRules(settings);
-    retryUnplaceable();
+    starter.retryUnplaceable();
   }
 
   @Override
@@ -110,7 +104,7 @@
     }
     cell.gainedRoom.add(cell.ledger.seen(profile));
     workersChanged();
-    retryUnplaceable();
+    starter.retryUnplaceable();
   }
 
   @Override
@@ -174,7 +168,7 @@
     delayed.release(nowMs, (job, tasks) -> queueAttempts(job, tasks, nowMs));
     suspicion.update(nowMs);
     reservations.update(nowMs);
-    List<Decision> decisions = startAll(nowMs);
+    List<Decision> decisions = starter.startAll(nowMs);
     admission.started(decisions.size(), nowMs);
     preemption.relieve(nowMs, decisions);
     preemption.restore(decisions);
@@ -213,16 +207,12 @@
       job.agingSinceMs = nowMs;
     }
     job.addWaiting(tasks);
-    if (job.ready() && !unplaceable.contains(job)) {
-      queue.add(job);
-    }
+    starter.add(job);
   }
 
   private void drop(QueuedJob job) {
     job.drop();
-    queue.remove(job);
-    reservations.release(job);
-    unplaceable.remove(job);
+    starter.remove(job);
   }
 
   private void giveUp(QueuedJob job, ReasonType type, String message) {
@@ -236,12 +226,6 @@
     queue.setTotal(cell.total());
   }
 
-  private void retryUnplaceable() {
-    List<QueuedJob> parked = List.copyOf(unplaceable);
-    unplaceable.clear();
-    parked.stream().filter(QueuedJob::ready).forEach(queue::add);
-  }
-
   /** Learns from an end; returns whether the job can't succeed anywhere. */
   private boolean learn(RunningAttempt attempt, TaskEnd end, long nowMs) {
     if (end.outcome() == TaskEnd.Outcome.FAILED) {
@@ -303,144 +287,4 @@
       jobs.remove(job.jobId);
     }
   }
-
-  private boolean gainedRoomFor(QueuedJob job, long nowMs) {
-    if (job.allAtOnce()) {
-      return !cell.gainedRoom.isEmpty();
-    }
-    Resources expected = cell.expected(job);
-    for (WorkerLoad worker : cell.gainedRoom) {
-      if (cell.hasRoom(worker, job, expected) && cell.admits(worker, job, nowMs)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private List<Decision> startAll(long nowMs) {
-    List<Decision> decisions = new ArrayList<>();
-    startReserved(nowMs, decisions);
-    queue.unblock(job -> gainedRoomFor(job, nowMs));
-    cell.gainedRoom.clear();
-    for (JobClass jobClass : JobClass.values()) {
-      startClass(jobClass, nowMs, decisions);
-    }
-    return decisions;
-  }
-
-  private void startReserved(long nowMs, List<Decision> decisions) {
-    if (cell.gainedRoom.isEmpty()) {
-      return;
-    }
-    for (QueuedJob job : reservations.jobs()) {
-      if (job.queue == null) {
-        reservations.release(job);
-      } else if (queue.allows(job)) {
-        start(job, nowMs, decisions);
-      }
-    }
-  }
-
-  private void startClass(JobClass jobClass, long nowMs, List<Decision> decisions) {
-    while (decisions.size() < cell.settings.maxStartsPerDecision()) {
-      QueuedJob next = queue.next(jobClass);
-      if (next == null || (jobClass == JobClass.BATCH && headroomUsedUp())) {
-        return;
-      }
-      QueuedJob job = acceleratorWorkFirst(next, nowMs);
-      if (!queue.everAllows(job)) {
-        queue.remove(job);
-        unplaceable.add(job);
-      } else if (!queue.allows(job)) {
-        queue.hold(job);
-      } else if (!start(job, nowMs, decisions)) {
-        putAside(job, nowMs);
-      }
-    }
-  }
-
-  /**
-   * Lets work in need of accelerators go before a job that would take a worker with accelerators, a
-   * bounded number of times per job.
-   */
-  private QueuedJob acceleratorWorkFirst(QueuedJob job, long nowMs) {
-    boolean mayYield =
-        job.acceleratorSkips < cell.settings.acceleratorSkips()
-            && job.demand().accelerators() == 0
-            && !job.allAtOnce();
-    if (!mayYield) {
-      return job;
-    }
-    QueuedJob other = queue.nextWithAccelerators(job.jobClass());
-    WorkerLoad worker = other == null ? null : placement.choose(job, nowMs);
-    if (other == null || worker == null || worker.capacity().accelerators() == 0) {
-      return job;
-    }
-    job.acceleratorSkips++;
-    return other;
-  }
-
-  private boolean headroomUsedUp() {
-    double limit = cell.total().slots() * (1 - cell.settings.urgentHeadroomShare());
-    return cell.ledger.used().slots() >= limit;
-  }
-
-  /** Starts the next task of a job, or all tasks of an all-at-once job. */
-  private boolean start(QueuedJob job, long nowMs, List<Decision> decisions) {
-    List<RunningAttempt> started = place(job, nowMs);
-    for (RunningAttempt attempt : started) {
-      job.removeWaiting(attempt.task.index());
-      queue.charge(job.team(), job.demand());
-      suspicion.started(attempt);
-      decisions.add(new Decision.Start(attempt.task, attempt.worker.workerId));
-    }
-    if (started.isEmpty()) {
-      return false;
-    }
-    reservations.release(job);
-    job.avoidanceDelays = 0;
-    job.acceleratorSkips = 0;
-    queue.restartAging(job, nowMs);
-    queue.recount(job);
-    return true;
-  }
-
-  private List<RunningAttempt> place(QueuedJob job, long nowMs) {
-    if (job.allAtOnce()) {
-      return placement.startAll(job, nowMs);
-    }
-    RunningAttempt attempt = placement.startOne(job, nowMs);
-    return attempt == null ? List.of() : List.of(attempt);
-  }
-
-  /** Passes a job over that fits nowhere at present. */
-  private void putAside(QueuedJob job, long nowMs) {
-    if (!cell.couldHold(job)) {
-      putAsideUnplaceable(job);
-    } else if (!job.avoidsSome()) {
-      queue.block(job);
-    } else if (otherWorkerCouldHold(job)) {
-      job.avoidanceDelays++;
-      queue.remove(job);
-      delayed.park(job, nowMs + AVOIDANCE_DELAY_MS);
-    } else {
-      job.stopAvoiding();
-    }
-  }
-
-  private void putAsideUnplaceable(QueuedJob job) {
-    queue.remove(job);
-    if (cell.settings.giveUpNeverFits() && !cell.everHeld(job)) {
-      giveUp(job, ReasonType.NEVER_FITS, "no worker ever declared room for " + job.demand());
-    } else {
-      unplaceable.add(job);
-    }
-  }
-
-  private boolean otherWorkerCouldHold(QueuedJob job) {
-    return cell.ledger.workers().stream()
-        .filter(worker -> worker.open() && !worker.health.suspect)
-        .filter(worker -> !job.avoids(worker.workerId))
-        .anyMatch(worker -> job.demand().fitsIn(worker.capacity()));
-  }
 }
