Try a suspect worker with whatever only it could hold

Cause: a worker was set aside, and nothing but work that must not be repeated, urgent work or all-at-once work waited for it, none of which may be a probe; so it stayed aside and the work starved.

Ruled out: taking the worker back after some time without a probe.

Change: such work is used as a probe where no other worker could hold it. The properties use up to 300 events.

--- a/domain/src/main/java/org/hickorymoor/domain/policy/Cell.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/Cell.java
@@ -131,11 +131,27 @@
     }
   }
 
-  private static boolean mayProbe(WorkerHealth health, QueuedJob job, long nowMs) {
-    return health.probe == null
-        && nowMs >= health.probeAtMs
-        && job.spec.repeatable()
-        && !job.allAtOnce()
-        && job.jobClass() != JobClass.URGENT;
+  /**
+   * Tells whether a worker that was set aside may be tried with a job. Work that a failure would
+   * hurt is used for that only where no other worker could hold it.
+   */
+  private boolean mayProbe(WorkerHealth health, QueuedJob job, long nowMs) {
+    if (health.probe != null || nowMs < health.probeAtMs) {
+      return false;
+    }
+    boolean harmless =
+        job.spec.repeatable() && !job.allAtOnce() && job.jobClass() != JobClass.URGENT;
+    return harmless || !othersCouldHold(job);
+  }
+
+  /** Tells whether the workers that are not set aside could hold a job if they were empty. */
+  private boolean othersCouldHold(QueuedJob job) {
+    long wanted = job.allAtOnce() ? job.waiting().size() : 1;
+    for (WorkerLoad worker : ledger.workers()) {
+      if (worker.open() && !worker.health.suspect) {
+        wanted -= Amounts.count(worker.capacity(), job.demand());
+      }
+    }
+    return wanted <= 0;
   }
 }
--- a/domain/src/test/java/org/hickorymoor/domain/policy/SchedulerPropertiesTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/SchedulerPropertiesTest.java
@@ -24,7 +24,7 @@
 
   @Property(seed = "21", tries = 300)
   void firstFitKeepsItsPromises(
-      @ForAll @Size(max = 120) List<@IntRange(max = MAX_EVENT) Integer> events) {
+      @ForAll @Size(max = 300) List<@IntRange(max = MAX_EVENT) Integer> events) {
     SchedulerModel model = new SchedulerModel(new FirstFitScheduler(new SplittableRandom(1)));
     events.forEach(model::step);
     model.settle(SETTLING_ROUNDS);
@@ -35,7 +35,7 @@
 
   @Property(seed = "22", tries = 300)
   void policyKeepsItsPromises(
-      @ForAll @Size(max = 120) List<@IntRange(max = MAX_EVENT) Integer> events) {
+      @ForAll @Size(max = 300) List<@IntRange(max = MAX_EVENT) Integer> events) {
     SchedulerModel model =
         new SchedulerModel(new PolicyScheduler(PolicySettings.DEFAULT, new SplittableRandom(1)));
     events.forEach(model::step);
--- a/domain/src/test/java/org/hickorymoor/domain/policy/SuspicionTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/SuspicionTest.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobClass;
 import org.hickorymoor.domain.job.JobKind;
 import org.hickorymoor.domain.job.JobSpec;
@@ -19,6 +21,7 @@
   private static final int WORKERS = 8;
   private static final int ROUNDS = 300;
   private static final long ROUND_MS = 200;
+  private static final long MAX_PROBE_DELAY_MS = 600_000;
   private static final String BAD_WORKER = "w0";
 
   private final PolicyScheduler scheduler =
@@ -67,6 +70,23 @@
     assertThat(startsOnBadWorker).isGreaterThan(100);
   }
 
+  @Test
+  void triesSuspectWorkerWithWhateverOnlyItCouldHold() {
+    WorkerProfile special =
+        new WorkerProfile(BAD_WORKER, "rack-1", Examples.WORKER_WITH_ACCELERATORS, false);
+    scheduler.workerSeen(special, 0);
+    run(start -> start.workerId().equals(BAD_WORKER), 1);
+    Resources accelerated = new Resources(1, 1, 1_000, 1_024, 1);
+    JobSpec once =
+        Examples.job("mill", "plate", JobKind.BATCH, JobClass.URGENT, 1, accelerated, false);
+    Examples.submit(scheduler, "plate", once, nowMs);
+    List<String> started = new ArrayList<>(Examples.startedJobs(scheduler.decide(nowMs)));
+    nowMs += MAX_PROBE_DELAY_MS;
+    started.addAll(Examples.startedJobs(scheduler.decide(nowMs)));
+
+    assertThat(started).contains("plate");
+  }
+
   private void run(Predicate<Decision.Start> fails, int part) {
     for (int i = 0; i < 3; i++) {
       submit("bad-" + i, "broken", part);
