Restore a configuration stream whose state is lost

Cause: with every host gone for longer than the log's retention no host can ever be ready again. Ruled out: starting from version 0, which reverts. Change: an operator can restart the stream at a version above all earlier ones.

--- a/daemon/src/main/java/org/hickorymoor/daemon/config/AuditedPublisher.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/AuditedPublisher.java
@@ -15,7 +15,8 @@
  */
 public final class AuditedPublisher {
 
-  private static final String WHAT = "config.publish";
+  private static final String PUBLISH = "config.publish";
+  private static final String RESTORE = "config.restore";
   private static final String TARGET = "config";
 
   private final ConfigService service;
@@ -48,10 +49,27 @@
       String bodyJson, long expectedVersion, String who, String publishId) {
     return service
         .publish(bodyJson, expectedVersion, who, publishId)
-        .whenComplete((result, problem) -> record(expectedVersion, who, publishId, result));
+        .whenComplete(
+            (result, problem) ->
+                record(PUBLISH, Long.toString(expectedVersion), who, publishId, result));
   }
 
-  private void record(long before, String who, String publishId, PublishResult result) {
+  /**
+   * Restarts a stream whose state is lost, see {@link ConfigService#restore}.
+   *
+   * @param bodyJson the configuration
+   * @param who operator
+   * @param publishId unique per restore
+   * @return what became of it
+   */
+  public CompletableFuture<PublishResult> restore(String bodyJson, String who, String publishId) {
+    return service
+        .restore(bodyJson, who, publishId)
+        .whenComplete((result, problem) -> record(RESTORE, "", who, publishId, result));
+  }
+
+  private void record(
+      String what, String before, String who, String publishId, PublishResult result) {
     String after =
         result instanceof PublishResult.Accepted accepted ? Long.toString(accepted.version()) : "";
     var unused =
@@ -59,9 +77,9 @@
             new AuditEntry(
                 wallClockMs.getAsLong(),
                 who,
-                WHAT,
+                what,
                 TARGET + "/" + publishId,
-                Long.toString(before),
+                before,
                 after,
                 outcome(result)));
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -15,6 +15,8 @@
 import org.hickorymoor.daemon.stream.StreamGap;
 import org.hickorymoor.daemon.stream.StreamListener;
 import org.hickorymoor.domain.config.AcceptedPublication;
+import org.hickorymoor.domain.config.ClusterConfig;
+import org.hickorymoor.domain.config.ConfigBody;
 import org.hickorymoor.domain.config.ConfigRecord;
 import org.hickorymoor.domain.config.ConfigRecord.Publication;
 import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
@@ -192,6 +194,45 @@
     return publisher.publish(record, publishId, expectedVersion);
   }
 
+  /**
+   * Restarts a stream whose state is lost: the log has dropped it and no host holds it.
+   *
+   * <p>The new version is higher than any that the stream can have had. A host that turns up later
+   * with an older one takes the new one over.
+   *
+   * @param bodyJson the configuration, of any known schema version
+   * @param who operator
+   * @param publishId unique
+   * @return accepted; or not published where the state is not lost, or this host can't tell
+   */
+  public CompletableFuture<PublishResult> restore(String bodyJson, String who, String publishId) {
+    ClusterConfig config;
+    try {
+      config = ConfigCodec.parse(bodyJson);
+    } catch (InvalidRecordException e) {
+      return CompletableFuture.completedFuture(new PublishResult.Invalid(e.problems()));
+    }
+    FollowerStatus log = follower().status();
+    boolean live = log.everRead() && log.state() == FollowerStatus.State.LIVE;
+    if (!live || store.read(ConfigState::isComplete)) {
+      return CompletableFuture.completedFuture(
+          new PublishResult.NotPublished(PublishResult.Reason.STATE_NOT_LOST));
+    }
+    Snapshot snapshot = restart(config, log.nextOffset(), who, publishId);
+    return publisher.publish(
+        ConfigRecordCodec.snapshot(snapshot), publishId, snapshot.version() - 1);
+  }
+
+  /** Each version took a record, so no version was higher than the number of records. */
+  private Snapshot restart(ClusterConfig config, long records, String who, String publishId) {
+    long atMs = wallClockMs.getAsLong();
+    long version = records + 1;
+    AcceptedPublication accepted =
+        new AcceptedPublication(version, records - 1, publishId, who, atMs);
+    return new Snapshot(
+        records - 1, version, records - 1, List.of(accepted), atMs, new ConfigBody.Valid(config));
+  }
+
   /**
    * Says what became of a publish whose result was unknown.
    *
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/PublishResult.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/PublishResult.java
@@ -60,6 +60,9 @@
     /** This host does not know the newest configuration, or an older one than was expected. */
     HOST_BEHIND,
 
+    /** A restore was asked for, and the state is not known to be lost. */
+    STATE_NOT_LOST,
+
     /** The service does not run. */
     STOPPED
   }
--- a/daemon/src/test/java/org/hickorymoor/daemon/config/ConfigServiceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/config/ConfigServiceTest.java
@@ -175,6 +175,30 @@
     assertThat(fresh.status().wantsOffers()).isTrue();
   }
 
+  @Test
+  void restoresLostStateAtHigherVersion() throws Exception {
+    ConfigService old = readyService(SETTINGS);
+    for (int i = 0; i < 3; i++) {
+      old.publish(BODY, i, "ada", "id" + i).get();
+    }
+    assertThat(old.restore(BODY, "ada", "restore").get())
+        .isEqualTo(new PublishResult.NotPublished(PublishResult.Reason.STATE_NOT_LOST));
+    old.stop();
+    int records = log.records(ConfigService.STREAM).size();
+    log.retainFrom(ConfigService.STREAM, records);
+    ConfigService fresh = newService(SETTINGS);
+    fresh.start();
+    await().until(() -> fresh.status().log().everRead());
+
+    assertThat(fresh.restore(BODY, "bob", "restore").get())
+        .isEqualTo(new PublishResult.Accepted(records + 1, records - 1));
+    old.start();
+
+    await().until(() -> old.current().equals(fresh.current()));
+    assertThat(fresh.publish(BODY, records + 1, "bob", "next").get())
+        .isInstanceOf(PublishResult.Accepted.class);
+  }
+
   @Test
   void tellsListenersRisingVersions() throws Exception {
     ConfigService service = readyService(SETTINGS);
