--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigService.java
@@ -18,7 +18,6 @@
 import org.hickorymoor.domain.config.ClusterConfig;
 import org.hickorymoor.domain.config.ConfigBody;
 import org.hickorymoor.domain.config.ConfigRecord;
-import org.hickorymoor.domain.config.ConfigRecord.Publication;
 import org.hickorymoor.domain.config.ConfigRecord.Snapshot;
 import org.hickorymoor.domain.config.ConfigState;
 import org.hickorymoor.protocol.config.ConfigCodec;
@@ -45,7 +44,6 @@
   public static final String STREAM = "config";
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long NO_OFFSET = -1;
 
   /** Records within which a snapshot is expected. */
   private static final long TAIL_RECORDS = 128;
@@ -53,13 +51,12 @@
   private final StreamContext context;
   private final LongSupplier wallClockMs;
   private final ConfigServiceSettings settings;
-  private final AppendBudget budget;
   private final ConfigStore store = new ConfigStore();
   private final ConfigPublisher publisher;
+  private final SnapshotWriter snapshots;
   private final Object lock = new Object();
 
   // Guarded by lock.
-  private final SnapshotTimer snapshotTimer;
   private @Nullable ScheduledFuture<?> snapshotTask;
   private boolean running;
   private boolean ready;
@@ -84,13 +81,12 @@
     this.context = requireNonNull(context, "context");
     this.wallClockMs = requireNonNull(wallClockMs, "wallClockMs");
     this.settings = requireNonNull(settings, "settings");
-    this.budget = requireNonNull(budget, "budget");
+    requireNonNull(budget, "budget");
     this.publisher = new ConfigPublisher(context, store, budget, settings);
     this.follower =
         LogFollower.fromTail(
             context, STREAM, TAIL_RECORDS, settings.follower(), new RecordApplier());
-    this.snapshotTimer =
-        new SnapshotTimer(settings.recordsPerSnapshot(), context.nowMs(), context.random());
+    this.snapshots = new SnapshotWriter(context, wallClockMs, budget, settings, store);
     var unused =
         context.metrics().gauge("config.version", () -> () -> current().config().version());
   }
@@ -260,15 +256,7 @@
    * @return empty if this host knows no more
    */
   public List<LogRecord> recordsAfter(long offset) {
-    return store.read(
-        state -> {
-          if (!state.isComplete() || state.appliedOffset() <= offset) {
-            return List.of();
-          }
-          Snapshot snapshot = state.snapshot(wallClockMs.getAsLong());
-          return List.of(
-              new LogRecord(state.appliedOffset(), ConfigRecordCodec.snapshot(snapshot)));
-        });
+    return store.recordsAfter(offset, wallClockMs.getAsLong());
   }
 
   /**
@@ -324,27 +312,8 @@
 
   private void considerSnapshot() {
     boolean live = follower().status().state() == FollowerStatus.State.LIVE;
-    if (!live || !takeSnapshotTurn(current().config().logRetentionMs())) {
-      return;
-    }
-    // Empty while records are missed, and where there never were any.
-    for (LogRecord record : recordsAfter(NO_OFFSET)) {
-      var unused =
-          context
-              .log()
-              .append(STREAM, record.data(), settings.appendTimeoutMs())
-              .whenComplete((offset, problem) -> logSnapshot(offset, problem));
-    }
-  }
-
-  private boolean takeSnapshotTurn(long retentionMs) {
-    synchronized (lock) {
-      long nowMs = context.nowMs();
-      if (!ready || !snapshotTimer.isDue(nowMs, retentionMs) || budget.tryTake() > 0) {
-        return false;
-      }
-      snapshotTimer.snapshotSent(nowMs);
-      return true;
+    if (live && ready()) {
+      snapshots.writeIfDue(current().config().logRetentionMs());
     }
   }
 
@@ -370,14 +339,6 @@
     }
   }
 
-  private static void logSnapshot(@Nullable Long offset, @Nullable Throwable problem) {
-    if (problem == null) {
-      logger.atInfo().log("config: snapshot at offset %s", offset);
-    } else {
-      logger.atWarning().log("config: snapshot failed: %s", problem);
-    }
-  }
-
   /** Applies what the follower reads. */
   private final class RecordApplier implements StreamListener {
 
@@ -385,14 +346,7 @@
     public void onRecord(LogRecord record) {
       ConfigRecord decoded = ConfigRecordCodec.decode(record.data());
       store.apply(record.offset(), decoded);
-      synchronized (lock) {
-        if (decoded instanceof Snapshot snapshot) {
-          long ageMs = wallClockMs.getAsLong() - snapshot.atMs();
-          snapshotTimer.snapshotSeen(context.nowMs(), ageMs);
-        } else if (decoded instanceof Publication) {
-          snapshotTimer.publicationSeen();
-        }
-      }
+      snapshots.seen(decoded);
     }
 
     @Override
--- a/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigStore.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/config/ConfigStore.java
@@ -6,6 +6,8 @@
 import java.util.function.Function;
 import org.hickorymoor.domain.config.ConfigRecord;
 import org.hickorymoor.domain.config.ConfigState;
+import org.hickorymoor.protocol.config.ConfigRecordCodec;
+import org.hickorymoor.protocol.platform.LogRecord;
 
 /**
  * Holds this host's {@link ConfigState} under a lock and tells of its changes.
@@ -80,6 +82,17 @@
     return read(now -> new ConfigView(now.config(), now.configOffset()));
   }
 
+  /** Returns the whole state as one record, or nothing if it can't vouch for a later offset. */
+  List<LogRecord> recordsAfter(long offset, long wallClockMs) {
+    synchronized (lock) {
+      if (!state.isComplete() || state.appliedOffset() <= offset) {
+        return List.of();
+      }
+      String data = ConfigRecordCodec.snapshot(state.snapshot(wallClockMs));
+      return List.of(new LogRecord(state.appliedOffset(), data));
+    }
+  }
+
   /** Reads the state under the lock. */
   <T> T read(Function<ConfigState, T> query) {
     synchronized (lock) {
