Split the task runner; take turns when asking peers for the configuration

Change: intake, starter and stopper are classes of their own over a shared state; peers are asked in turn.

--- a/daemon/src/main/java/org/hickorymoor/daemon/ConfigExchange.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/ConfigExchange.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon;
 
+import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.hickorymoor.daemon.config.ConfigService;
@@ -20,6 +21,7 @@
   private final ConfigService config;
   private final Neighbours neighbours;
   private final Router.Calls calls;
+  private int turn;
 
   ConfigExchange(ConfigService config, Neighbours neighbours, Router.Calls calls) {
     this.config = config;
@@ -33,10 +35,12 @@
 
   private void fetchNewer() {
     long ownOffset = config.status().appliedOffset();
-    neighbours.livePeers().stream()
-        .filter(peer -> knowsMore(peer, ownOffset))
-        .findFirst()
-        .ifPresent(peer -> fetch(peer, ownOffset));
+    List<HostEntry> ahead =
+        neighbours.livePeers().stream().filter(peer -> knowsMore(peer, ownOffset)).toList();
+    if (!ahead.isEmpty()) {
+      // Another peer each time, since one may be out of reach or know no more after all.
+      fetch(ahead.get(Math.floorMod(turn++, ahead.size())), ownOffset);
+    }
   }
 
   private boolean knowsMore(HostEntry peer, long ownOffset) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -31,10 +31,11 @@
   private static final long RESTORE_WAIT_MS = 1_000;
 
   private final CellContext context;
-  private final JobTable jobs = new JobTable();
-  private final TaskRunner runner;
   private final Object lock = new Object();
-  private final long startedMs;
+  private final CellState state;
+  private final JobTable jobs;
+  private final JobIntake intake;
+  private final TaskRunner runner;
   private @Nullable PolicySettings policy;
   private boolean settled;
   private boolean restored;
@@ -42,8 +43,10 @@
 
   Cell(CellContext context, String termTag) {
     this.context = context;
-    this.startedMs = context.clockMs().getAsLong();
-    this.runner = new TaskRunner(context, jobs, lock, termTag, startedMs, this::pump);
+    this.state = new CellState(context, lock, this::pump);
+    this.jobs = state.jobs();
+    this.intake = new JobIntake(state);
+    this.runner = new TaskRunner(state, termTag);
   }
 
   /**
@@ -67,7 +70,7 @@
       }
       Job job = new Job(jobId, spec, context.clockMs().getAsLong());
       jobs.add(job);
-      runner.record(job);
+      intake.record(job);
       answer = await(job, waitMs);
     }
     pump();
@@ -80,7 +83,7 @@
     }
     known.want();
     if (settled) {
-      runner.enqueue(known);
+      intake.enqueue(known);
     }
     return await(known, waitMs);
   }
@@ -189,11 +192,11 @@
       if (closed) {
         return;
       }
-      boolean listed = allListed || nowMs > startedMs + context.settings().lapseMs();
-      boolean logHeard = restored || nowMs > startedMs + RESTORE_WAIT_MS;
+      boolean listed = allListed || nowMs > state.startedMs() + context.settings().lapseMs();
+      boolean logHeard = restored || nowMs > state.startedMs() + RESTORE_WAIT_MS;
       if (!settled && listed && logHeard) {
         settled = true;
-        jobs.all().forEach(runner::enqueue);
+        jobs.all().forEach(intake::enqueue);
       }
       runner.expire(nowMs);
     }
@@ -206,7 +209,7 @@
       if (closed) {
         return;
       }
-      known.forEach(job -> runner.restore(job, settled));
+      known.forEach(job -> intake.restore(job, settled));
       restored = true;
     }
     pump();
@@ -267,7 +270,7 @@
           runner.carryOut(decision);
         }
       }
-      calls = runner.takeCalls();
+      calls = state.takeCalls();
     }
     calls.forEach(Runnable::run);
   }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
@@ -0,0 +1,95 @@
+package org.hickorymoor.daemon.coordinator;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorymoor.domain.policy.CellScheduler;
+
+/**
+ * What the parts of a cell share: its jobs, its lock, and the calls that are to go out.
+ *
+ * <p>Everything but the lock itself is used with the lock held.
+ */
+final class CellState {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final CellContext context;
+  private final Object lock;
+  private final Runnable pump;
+  private final long startedMs;
+  private final JobTable jobs = new JobTable();
+  private List<Runnable> calls = new ArrayList<>();
+
+  CellState(CellContext context, Object lock, Runnable pump) {
+    this.context = context;
+    this.lock = lock;
+    this.pump = pump;
+    this.startedMs = context.clockMs().getAsLong();
+  }
+
+  CellContext context() {
+    return context;
+  }
+
+  Object lock() {
+    return lock;
+  }
+
+  JobTable jobs() {
+    return jobs;
+  }
+
+  CellScheduler scheduler() {
+    return context.scheduler();
+  }
+
+  long nowMs() {
+    return context.clockMs().getAsLong();
+  }
+
+  /** Returns the time at which the term of the cell began. */
+  long startedMs() {
+    return startedMs;
+  }
+
+  /** Notes a call that is to go out once the lock is free. */
+  void later(Runnable call) {
+    calls.add(call);
+  }
+
+  /** Has the cell decide and send. Called without the lock. */
+  void pump() {
+    pump.run();
+  }
+
+  List<Runnable> takeCalls() {
+    List<Runnable> taken = calls;
+    calls = new ArrayList<>();
+    return taken;
+  }
+
+  void unplace(JobTask task) {
+    String workerId = task.workerId();
+    if (workerId != null) {
+      jobs.unplace(workerId, task.workerTaskId());
+    }
+  }
+
+  void completeIfEnded(Job job) {
+    if (job.ended() || !job.allEnded()) {
+      return;
+    }
+    job.end(nowMs());
+    scheduler().cancel(job.jobId());
+    jobs.keepEnded(job);
+    calls.add(() -> context.journal().finished(job.answer()));
+    notifyWaiters(job);
+    logger.atFine().log("coordinator: Job %s is %s.", job.jobId(), job.state());
+  }
+
+  void notifyWaiters(Job job) {
+    var answer = job.answer();
+    job.takeWaiters().forEach(waiter -> calls.add(() -> waiter.complete(answer)));
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
@@ -9,6 +9,7 @@
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.TaskId;
 import org.hickorymoor.domain.job.TaskStatus;
 
 /** What a coordinator knows of one job. Guarded by the lock of its cell. */
@@ -140,6 +141,12 @@
     return new JobAnswer(spec.request(), jobId, state(), reason, 0, statuses);
   }
 
+  /** Names the attempt that comes after the last one at a task. */
+  TaskId nextAttempt(JobTask task) {
+    TaskId last = task.attempt();
+    return new TaskId(jobId, task.index(), last == null ? 1 : last.attempt() + 1);
+  }
+
   boolean isService() {
     return spec.kind() == JobKind.SERVICE;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerAgent.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerAgent.java
@@ -11,12 +11,9 @@
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.WorkerPort;
 import org.hickorymoor.domain.Resources;
-import org.hickorymoor.domain.lease.HoldView;
 import org.hickorymoor.domain.lease.WorkerHold;
 import org.hickorymoor.domain.lease.WorkerHold.State;
-import org.hickorymoor.protocol.platform.CommandOutcome;
 import org.hickorymoor.protocol.platform.CommandReply;
-import org.hickorymoor.protocol.platform.RunningTask;
 import org.hickorymoor.protocol.platform.StartCommand;
 import org.hickorymoor.protocol.platform.SyncCommand;
 import org.hickorymoor.protocol.platform.SyncReply;
@@ -32,7 +29,6 @@
 final class WorkerAgent {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final String HOLD_PREFIX = "hold:";
   private static final String ENDLESS_PAYLOAD = "{\"sleepMs\":-1}";
   private static final long RETRY_MS = 100;
   private static final long CONTEST_BACK_OFF_MS = 400;
@@ -246,7 +242,7 @@
     synchronized (lock) {
       holdSequence++;
       leaseTaskId =
-          HOLD_PREFIX + settings.hostId() + ":" + settings.incarnation() + ":" + holdSequence;
+          HoldLists.PREFIX + settings.hostId() + ":" + settings.incarnation() + ":" + holdSequence;
       hold.placed(leaseTaskId);
       placedSentMs = clockMs.getAsLong();
     }
@@ -295,7 +291,7 @@
       }
       lastReplyMs = clockMs.getAsLong();
       if (hold.state() == State.PLACED) {
-        hold.listed(sentMs, view(reply));
+        hold.listed(sentMs, HoldLists.view(hold.leaseTaskId(), reply));
       }
       if (hold.state() != State.HELD) {
         backOff(hold.state() == State.WITHDRAWING ? 0 : CONTEST_BACK_OFF_MS);
@@ -351,7 +347,7 @@
       lastEnded = reply.ended().stream().map(ended -> ended.taskId()).toList();
       labelsWanted = false;
       if (hold.state() == State.HELD) {
-        hold.listed(sentMs, renewedView(reply));
+        hold.listed(sentMs, HoldLists.renewed(hold.leaseTaskId(), reply));
       }
       if (hold.state() != State.HELD) {
         logger.atInfo().log("coordinator: Lost worker %s.", workerId);
@@ -390,33 +386,6 @@
     dueMs = clockMs.getAsLong() + baseMs + jitter.upToMs(baseMs);
   }
 
-  private HoldView renewedView(SyncReply reply) {
-    if (reply.outcome() != CommandOutcome.DONE) {
-      return new HoldView(false, 0, true);
-    }
-    return view(reply);
-  }
-
-  private HoldView view(SyncReply reply) {
-    String own = hold.leaseTaskId();
-    long untilMs = 0;
-    boolean ownListed = false;
-    boolean others = false;
-    for (RunningTask task : reply.tasks()) {
-      if (task.taskId().equals(own)) {
-        ownListed = true;
-        untilMs = task.leaseUntilMs();
-      } else if (isHold(task.taskId())) {
-        others = true;
-      }
-    }
-    return new HoldView(ownListed, untilMs, others);
-  }
-
-  static boolean isHold(String taskId) {
-    return taskId.startsWith(HOLD_PREFIX);
-  }
-
   static @Nullable Throwable unwrap(@Nullable Throwable failure) {
     if (failure instanceof CompletionException && failure.getCause() != null) {
       return failure.getCause();
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerLists.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerLists.java
@@ -22,14 +22,16 @@
 
   private static final int ORPHAN_ATTEMPTS = 1_000_000;
 
+  private final CellState state;
   private final CellContext context;
   private final JobTable jobs;
   private final TaskRunner runner;
   private final Map<String, String> incarnations = new HashMap<>();
 
-  WorkerLists(CellContext context, JobTable jobs, TaskRunner runner) {
-    this.context = context;
-    this.jobs = jobs;
+  WorkerLists(CellState state, TaskRunner runner) {
+    this.state = state;
+    this.context = state.context();
+    this.jobs = state.jobs();
     this.runner = runner;
   }
 
@@ -45,7 +47,7 @@
     Set<String> listed = new HashSet<>();
     for (RunningTask running : reply.tasks()) {
       listed.add(running.taskId());
-      if (!WorkerAgent.isHold(running.taskId())) {
+      if (!HoldLists.isHold(running.taskId())) {
         running(agent, running);
       }
     }
@@ -69,7 +71,7 @@
       long ageMs = Math.max(0, reply.nowMs() - usage.atMs());
       UsageReport report =
           new UsageReport(usage.cpuMillis(), usage.memoryMb(), usage.connections(), ageMs);
-      context.scheduler().usageReported(workerId, report, context.clockMs().getAsLong());
+      state.scheduler().usageReported(workerId, report, state.nowMs());
     }
   }
 
@@ -81,7 +83,7 @@
     }
     Phase phase = entry.task().phase();
     if (phase == Phase.STARTING || phase == Phase.START_UNANSWERED) {
-      entry.task().running(context.clockMs().getAsLong());
+      entry.task().running(state.nowMs());
     } else if (phase == Phase.IN_DOUBT) {
       runner.cleared(entry.job(), entry.task(), agent.workerId());
     }
@@ -107,15 +109,13 @@
         agent.workerId(),
         incarnation(agent.workerId()),
         Phase.RUNNING);
-    task.running(context.clockMs().getAsLong());
+    task.running(state.nowMs());
     jobs.place(agent.workerId(), running.taskId(), job, task);
     if (taken || job.cancelled() || job.ended()) {
       runner.stop(task);
       return;
     }
-    context
-        .scheduler()
-        .taskFound(labels.attempt(), job.spec(), agent.workerId(), context.clockMs().getAsLong());
+    state.scheduler().taskFound(labels.attempt(), job.spec(), agent.workerId(), state.nowMs());
   }
 
   /** Names an attempt that is only to be stopped, so that its end is taken for no other's. */
@@ -126,14 +126,14 @@
   private Job jobOf(Labels labels) {
     Job job = jobs.byId(labels.attempt().jobId());
     if (job == null) {
-      job = new Job(labels.attempt().jobId(), labels.spec(), context.clockMs().getAsLong());
+      job = new Job(labels.attempt().jobId(), labels.spec(), state.nowMs());
       jobs.add(job);
     }
     return job;
   }
 
   private void ended(WorkerAgent agent, EndedTask ended) {
-    if (WorkerAgent.isHold(ended.taskId())) {
+    if (HoldLists.isHold(ended.taskId())) {
       agent.acknowledge(ended.taskId());
       return;
     }
@@ -165,9 +165,7 @@
         agent.workerId(),
         incarnation(agent.workerId()),
         Phase.RUNNING);
-    context
-        .scheduler()
-        .taskFound(labels.attempt(), job.spec(), agent.workerId(), context.clockMs().getAsLong());
+    state.scheduler().taskFound(labels.attempt(), job.spec(), agent.workerId(), state.nowMs());
     runner.ended(job, task, agent, ended);
   }
 
@@ -233,8 +231,8 @@
       if (labels == null) {
         return null;
       }
-      String task = labels.get(TaskRunner.TASK_LABEL);
-      Optional<JobSpec> spec = records.read(labels.getOrDefault(TaskRunner.RECORD_LABEL, ""));
+      String task = labels.get(TaskStarter.TASK_LABEL);
+      Optional<JobSpec> spec = records.read(labels.getOrDefault(TaskStarter.RECORD_LABEL, ""));
       return task == null || spec.isEmpty() ? null : new Labels(TaskId.parse(task), spec.get());
     }
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
@@ -107,8 +107,7 @@
     jobs.start();
     context
         .executor()
-        .scheduleWithFixedDelay(
-            this::considerKeepAlive, CHECK_MS, CHECK_MS, TimeUnit.MILLISECONDS);
+        .scheduleWithFixedDelay(this::considerKeepAlive, CHECK_MS, CHECK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Stops; what waits to be appended fails. */
