Make throttling free learned room at once

Cause: a throttled task still counted at full speed in what the last report and the starts since add up to, so an urgent job waited for the next report. Found by the new example test of throttling, which failed.

Ruled out: freeing declared capacity, which would overfill the worker on paper.

Change: the learner counts a throttled task at its present speed.

--- a/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/CapacityLearner.java
@@ -50,12 +50,12 @@
 
   void started(RunningAttempt attempt) {
     if (attempt.startedMs >= reportedAtMs) {
-      startedSince = startedSince.plus(observable(attempt.expected));
+      startedSince = startedSince.plus(observable(attempt));
     }
   }
 
   void ended(RunningAttempt attempt) {
-    Resources part = observable(attempt.expected);
+    Resources part = observable(attempt);
     if (attempt.startedMs >= reportedAtMs) {
       startedSince = startedSince.minus(part);
     } else {
@@ -63,6 +63,18 @@
     }
   }
 
+  /** Changes the speed of a running attempt, which counts at once, before a report shows it. */
+  void throttled(RunningAttempt attempt, int percent) {
+    Resources before = observable(attempt);
+    attempt.percent = percent;
+    Resources change = observable(attempt).minus(before);
+    if (attempt.startedMs >= reportedAtMs) {
+      startedSince = startedSince.plus(change);
+    } else {
+      reported = Amounts.max(Resources.NONE, reported.plus(change));
+    }
+  }
+
   /**
    * Takes a report in; one that is older than the last is dropped.
    *
@@ -118,10 +130,10 @@
       Collection<RunningAttempt> attempts, Collection<RunningAttempt> recentEnds, long atMs) {
     Resources sum = Resources.NONE;
     for (RunningAttempt attempt : attempts) {
-      sum = attempt.startedMs < atMs ? sum.plus(observable(attempt.expected)) : sum;
+      sum = attempt.startedMs < atMs ? sum.plus(observable(attempt)) : sum;
     }
     for (RunningAttempt ended : recentEnds) {
-      sum = inReport(ended, atMs) ? sum.plus(observable(ended.expected)) : sum;
+      sum = inReport(ended, atMs) ? sum.plus(observable(ended)) : sum;
     }
     return sum;
   }
@@ -143,7 +155,10 @@
     }
   }
 
-  private static Resources observable(Resources amount) {
-    return new Resources(0, amount.connections(), amount.cpuMillis(), amount.memoryMb(), 0);
+  /** Returns what an attempt is expected to add to a report at its present speed. */
+  private static Resources observable(RunningAttempt attempt) {
+    Resources expected = attempt.expected;
+    int cpuMillis = expected.cpuMillis() * attempt.percent / RunningAttempt.FULL_SPEED_PERCENT;
+    return new Resources(0, expected.connections(), cpuMillis, expected.memoryMb(), 0);
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/policy/WorkerLoad.java
+++ b/domain/src/main/java/org/hickorymoor/domain/policy/WorkerLoad.java
@@ -144,7 +144,7 @@
   /** Changes the speed that a running attempt is allowed. */
   void throttle(RunningAttempt attempt, int percent) {
     effective = effective.minus(attempt.effective);
-    attempt.percent = percent;
+    learner.throttled(attempt, percent);
     attempt.everThrottled = true;
     attempt.effective = attempt.effectiveAt(percent);
     effective = effective.plus(attempt.effective);
--- a/domain/src/test/java/org/hickorymoor/domain/policy/PolicySchedulerTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/policy/PolicySchedulerTest.java
@@ -90,6 +90,25 @@
     assertThat(startedJobs(scheduler.decide(1_300))).containsExactly("preview");
   }
 
+  @Test
+  void throttlesBatchTasksWhereOnlyLearnedProcessorTimeIsShort() {
+    PolicyScheduler cautious = scheduler(PolicySettings.DEFAULT);
+    cautious.workerSeen(worker("w1"), 0);
+    Resources heavy = new Resources(1, 1, 2_600, 1_024, 0);
+    submit(cautious, "batch", job("rival", JobKind.BATCH, JobClass.BATCH, 3, heavy), 0);
+    cautious.decide(0);
+    submit(cautious, "preview", urgent("mill"), 1_000);
+    cautious.decide(1_000);
+
+    assertThat(cautious.decide(1_200))
+        .containsExactly(new Decision.Throttle(new TaskId("batch", 0, 1), "w1", 50));
+    assertThat(startedJobs(cautious.decide(1_300))).containsExactly("preview");
+    cautious.taskEnded(new TaskId("preview", 0, 1), succeeded(100), 1_400);
+    cautious.taskEnded(new TaskId("batch", 1, 1), succeeded(1_400), 1_400);
+    assertThat(cautious.decide(1_400))
+        .containsExactly(new Decision.Throttle(new TaskId("batch", 0, 1), "w1", 100));
+  }
+
   @Test
   void neverStopsWhatMustNotBeRepeated() {
     scheduler.workerSeen(worker("w1"), 0);
