--- a/cli/src/main/java/org/hickorymoor/cli/client/RetryingClient.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/RetryingClient.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.hickorymoor.protocol.caller.CallerJson;
+import org.hickorymoor.protocol.json.InvalidRecordException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -84,7 +86,7 @@
       if (assessment.verdict() == Verdict.UNKNOWN || assessment.verdict() == Verdict.ELSEWHERE) {
         useNextServer();
       }
-      return new Attempt(assessment, reply, server + ": status " + reply.status());
+      return new Attempt(assessment, reply, server + ": " + describe(reply));
     } catch (TransportException e) {
       useNextServer();
       Verdict verdict = e.maybeSent() ? Verdict.UNKNOWN : Verdict.NO_EFFECT;
@@ -92,6 +94,15 @@
     }
   }
 
+  private static String describe(Reply reply) {
+    String status = "status " + reply.status();
+    try {
+      return status + ", " + CallerJson.parseError(reply.body()).error().message();
+    } catch (InvalidRecordException e) {
+      return status;
+    }
+  }
+
   private void useNextServer() {
     current = (current + 1) % servers.size();
   }
--- a/cli/src/test/java/org/hickorymoor/cli/CliTest.java
+++ b/cli/src/test/java/org/hickorymoor/cli/CliTest.java
@@ -220,6 +220,7 @@
       ExitCode code = runWithInput(daemon, "{}", "config", "publish", "-", "--expect-version", "7");
 
       assertThat(code).isEqualTo(ExitCode.IN_DOUBT);
+      assertThat(err.toString(UTF_8)).contains("status 503, log out");
       assertThat(daemon.received).hasSize(1);
     }
   }
