Say not-run only when no later coordinator can start the job; drop dead workers

Cause, found by process tests and by reading: (1) a cancelled job was answered not-run before the log held it, so the next coordinator could restore and start it; (2) a claim or acceptance whose append got no answer was answered not-run though it may stand in the log; (3) a dead worker stayed held for ever, was shown live and counted in the majority after the platform had dropped it; (4) a worker dropped from the list kept getting work. Ruled out: the worker side, whose records show no double run. Change: not-run waits for its record, and is in doubt till then; an unanswered claim is repeated until it is known; a worker counts as held only while its lease is alive, leaves when unlisted, and is dropped once all on it has lapsed; claims wait for the restored ledger.

--- a/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/Daemon.java
@@ -160,7 +160,10 @@
             jobs,
             router,
             new HttpInterfaces.ConfigParts(
-                config, new AuditedPublisher(config, audit, System::currentTimeMillis), audit),
+                config,
+                new AuditedPublisher(config, audit, System::currentTimeMillis),
+                audit,
+                neighbours::knowsWorker),
             new HttpInterfaces.Views(
                 this::cell, () -> MetricsView.of(metrics), () -> serving && config.ready()));
   }
@@ -320,7 +323,10 @@
     view.put("workersOwned", coordinator.workersHeld());
     view.put("workersKnown", neighbours.workers().size());
     view.put("jobsOpen", coordinator.openJobs());
+    view.put("queued", coordinator.waitingTasks());
+    view.put("running", coordinator.runningTasks());
     view.put("logState", EnumNames.textOf(journal.status().state()));
+    view.put("claims", coordinator.coordinating() && journal.canClaim());
     view.put("configVersion", config.current().config().version());
     view.put("peersLive", neighbours.livePeers().stream().map(HostEntry::hostId).toList());
     return view;
--- a/daemon/src/main/java/org/hickorymoor/daemon/Neighbours.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/Neighbours.java
@@ -31,6 +31,10 @@
     return known == null ? List.of() : known.workers();
   }
 
+  boolean knowsWorker(String workerId) {
+    return workers().stream().anyMatch(worker -> worker.hostId().equals(workerId));
+  }
+
   /** Returns the other live entry hosts of the failure domain. */
   List<HostEntry> livePeers() {
     Membership known = membership;
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.job.JobSpec;
@@ -39,7 +40,6 @@
   private @Nullable PolicySettings policy;
   private boolean settled;
   private boolean restored;
-  private boolean closed;
 
   Cell(CellContext context, String termTag) {
     this.context = context;
@@ -70,7 +70,7 @@
       }
       Job job = new Job(jobId, spec, context.clockMs().getAsLong());
       jobs.add(job);
-      intake.record(job);
+      intake.record(job, settled, restored);
       answer = await(job, waitMs);
     }
     pump();
@@ -150,7 +150,7 @@
   /** Takes in what a held worker listed. */
   void synced(WorkerAgent agent, @Nullable WorkerProfile profile, long sentMs, SyncReply reply) {
     synchronized (lock) {
-      if (closed) {
+      if (state.closed()) {
         return;
       }
       if (profile != null) {
@@ -177,7 +177,7 @@
       return List.of();
     }
     synchronized (lock) {
-      return closed ? List.of() : List.copyOf(jobs.on(workerId).keySet());
+      return state.closed() ? List.of() : List.copyOf(jobs.on(workerId).keySet());
     }
   }
 
@@ -189,7 +189,7 @@
   void tick(boolean allListed) {
     long nowMs = context.clockMs().getAsLong();
     synchronized (lock) {
-      if (closed) {
+      if (state.closed()) {
         return;
       }
       boolean listed = allListed || nowMs > state.startedMs() + context.settings().lapseMs();
@@ -206,7 +206,7 @@
   /** Takes in the jobs that the log knows. */
   void restore(Collection<LedgerJob> known) {
     synchronized (lock) {
-      if (closed) {
+      if (state.closed()) {
         return;
       }
       known.forEach(job -> intake.restore(job, settled));
@@ -219,7 +219,7 @@
   void close() {
     List<CompletableFuture<JobAnswer>> waiters = new ArrayList<>();
     synchronized (lock) {
-      closed = true;
+      state.close();
       jobs.all().forEach(job -> waiters.addAll(job.takeWaiters()));
     }
     waiters.forEach(waiter -> waiter.completeExceptionally(new TermEndedException()));
@@ -232,6 +232,27 @@
     }
   }
 
+  /** Returns how many tasks wait to be started. */
+  int waitingTasks() {
+    return count(phase -> phase == JobTask.Phase.WAITING);
+  }
+
+  /** Returns how many tasks may run. */
+  int runningTasks() {
+    return count(JobTask.Phase::mayRun);
+  }
+
+  private int count(Predicate<JobTask.Phase> wanted) {
+    synchronized (lock) {
+      return (int)
+          jobs.all().stream()
+              .filter(job -> !job.ended())
+              .flatMap(job -> job.tasks().stream())
+              .filter(task -> wanted.test(task.phase()))
+              .count();
+    }
+  }
+
   /** Returns how many tasks a worker may hold. */
   int tasksOn(String workerId) {
     synchronized (lock) {
@@ -265,7 +286,7 @@
     List<Runnable> calls;
     synchronized (lock) {
       followPolicy();
-      if (settled && !closed && context.hasAuthority()) {
+      if (settled && !state.closed() && context.hasAuthority()) {
         for (Decision decision : context.scheduler().decide(context.clockMs().getAsLong())) {
           runner.carryOut(decision);
         }
@@ -284,7 +305,7 @@
   }
 
   private CompletableFuture<JobAnswer> await(Job job, long waitMs) {
-    if (job.ended() || waitMs <= 0) {
+    if (job.recorded() || waitMs <= 0) {
       return CompletableFuture.completedFuture(job.answer());
     }
     CompletableFuture<JobAnswer> waiter = new CompletableFuture<>();
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
@@ -3,7 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.policy.CellScheduler;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What the parts of a cell share: its jobs, its lock, and the calls that are to go out.
@@ -19,6 +21,7 @@
   private final Runnable pump;
   private final long startedMs;
   private final JobTable jobs = new JobTable();
+  private boolean closed;
   private List<Runnable> calls = new ArrayList<>();
 
   CellState(CellContext context, Object lock, Runnable pump) {
@@ -53,6 +56,15 @@
     return startedMs;
   }
 
+  /** Tells whether the term has ended. */
+  boolean closed() {
+    return closed;
+  }
+
+  void close() {
+    closed = true;
+  }
+
   /** Notes a call that is to go out once the lock is free. */
   void later(Runnable call) {
     calls.add(call);
@@ -83,11 +95,30 @@
     job.end(nowMs());
     scheduler().cancel(job.jobId());
     jobs.keepEnded(job);
-    calls.add(() -> context.journal().finished(job.answer()));
-    notifyWaiters(job);
+    JobAnswer answer = job.finalAnswer();
+    calls.add(
+        () ->
+            context
+                .journal()
+                .finished(answer)
+                .whenComplete((done, failure) -> finished(job, failure)));
+    if (job.recorded()) {
+      notifyWaiters(job);
+    }
     logger.atFine().log("coordinator: Job %s is %s.", job.jobId(), job.state());
   }
 
+  /** Takes in that the log holds the end of a job. Called without the lock. */
+  private void finished(Job job, @Nullable Throwable failure) {
+    synchronized (lock) {
+      if (failure == null && !job.recorded()) {
+        job.record();
+        notifyWaiters(job);
+      }
+    }
+    pump();
+  }
+
   void notifyWaiters(Job job) {
     var answer = job.answer();
     job.takeWaiters().forEach(waiter -> calls.add(() -> waiter.complete(answer)));
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
@@ -175,6 +175,24 @@
     return cell().map(Cell::openJobs).orElse(0);
   }
 
+  /**
+   * Returns how many tasks of this host's term wait to be started.
+   *
+   * @return number of tasks, 0 if this host is not coordinator
+   */
+  public int waitingTasks() {
+    return cell().map(Cell::waitingTasks).orElse(0);
+  }
+
+  /**
+   * Returns how many tasks of this host's term run, as far as is known.
+   *
+   * @return number of tasks, 0 if this host is not coordinator
+   */
+  public int runningTasks() {
+    return cell().map(Cell::runningTasks).orElse(0);
+  }
+
   WorkerTable workers() {
     return workers;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
@@ -9,12 +9,15 @@
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.JobState;
 import org.hickorymoor.domain.job.Reason;
+import org.hickorymoor.domain.job.ReasonType;
 import org.hickorymoor.domain.job.TaskId;
 import org.hickorymoor.domain.job.TaskStatus;
 
 /** What a coordinator knows of one job. Guarded by the lock of its cell. */
 final class Job {
 
+  private static final long RETRY_AFTER_MS = 1_000;
+
   private final String jobId;
   private final JobSpec spec;
   private final long acceptedMs;
@@ -23,6 +26,8 @@
   private Reason reason = Reason.NONE;
   private boolean cancelled;
   private boolean ended;
+  private boolean recorded;
+  private boolean maybeClaimed;
   private boolean queued;
   private boolean wanted;
   private long endedMs;
@@ -70,6 +75,27 @@
     return ended;
   }
 
+  /**
+   * Tells whether the job has ended and callers may be told so for certain. That a job was not run
+   * is certain only once the log holds it, or the next coordinator could start it after all.
+   */
+  boolean recorded() {
+    return ended && (recorded || state() != JobState.NOT_RUN);
+  }
+
+  void record() {
+    recorded = true;
+  }
+
+  /** Tells whether a claim of its key may stand in the log without its having been seen there. */
+  boolean maybeClaimed() {
+    return maybeClaimed;
+  }
+
+  void maybeClaim() {
+    maybeClaimed = true;
+  }
+
   long endedMs() {
     return endedMs;
   }
@@ -138,6 +164,21 @@
 
   JobAnswer answer() {
     List<TaskStatus> statuses = tasks.stream().map(JobTask::status).toList();
+    if (ended && !recorded()) {
+      Reason pending =
+          new Reason(ReasonType.LOG_UNAVAILABLE, "That it was not run is still to be recorded.");
+      return new JobAnswer(
+          spec.request(), jobId, JobState.IN_DOUBT, pending, RETRY_AFTER_MS, statuses);
+    }
+    return finalAnswer(statuses);
+  }
+
+  /** Returns the answer for the record in the log. */
+  JobAnswer finalAnswer() {
+    return finalAnswer(tasks.stream().map(JobTask::status).toList());
+  }
+
+  private JobAnswer finalAnswer(List<TaskStatus> statuses) {
     return new JobAnswer(spec.request(), jobId, state(), reason, 0, statuses);
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
@@ -1,6 +1,8 @@
 package org.hickorymoor.daemon.coordinator;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.hickorymoor.daemon.coordinator.JobTask.Phase;
 import org.hickorymoor.domain.job.Reason;
 import org.hickorymoor.domain.job.ReasonType;
@@ -12,6 +14,8 @@
 /** Takes jobs on, from callers and from the log. Guarded by the lock of its cell. */
 final class JobIntake {
 
+  private static final long CLAIM_AGAIN_MS = 500;
+
   private final CellState state;
 
   JobIntake(CellState state) {
@@ -19,26 +23,41 @@
   }
 
   /** Records a new job, and queues it once its record allows. */
-  void record(Job job) {
+  void record(Job job, boolean settled, boolean restored) {
     job.want();
-    if (job.spec().repeatable()) {
+    if (!job.spec().repeatable()) {
+      claim(job, restored);
+      return;
+    }
+    if (settled) {
       enqueue(job);
-      state.later(() -> state.context().journal().accepted(job.jobId(), job.spec()));
-    } else {
-      state.later(
-          () ->
-              state
-                  .context()
-                  .journal()
-                  .claim(job.jobId(), job.spec())
-                  .whenComplete((jobId, failure) -> claimed(job, jobId, failure)));
     }
+    state.later(() -> state.context().journal().accepted(job.jobId(), job.spec()));
+  }
+
+  /** Claims the key of a job, once the log's claims and placements are known here. */
+  private void claim(Job job, boolean restored) {
+    if (!restored) {
+      String message = "The log has not been read since this coordinator took over.";
+      refuse(job, new JournalException(JournalException.Type.LOG_OUT, message));
+      return;
+    }
+    state.later(
+        () ->
+            state
+                .context()
+                .journal()
+                .claim(job.jobId(), job.spec())
+                .whenComplete((jobId, failure) -> claimed(job, jobId, failure)));
   }
 
   /** Called without the lock. */
   private void claimed(Job job, @Nullable String jobId, @Nullable Throwable failure) {
     synchronized (state.lock()) {
-      if (failure == null && job.jobId().equals(jobId)) {
+      if (job.cancelled()) {
+        end(job, job.reason().type(), job.reason().message());
+      } else if (failure == null && job.jobId().equals(jobId)) {
+        cleared(job);
         enqueue(job);
       } else if (jobId != null) {
         rename(job, jobId);
@@ -65,15 +84,51 @@
     enqueue(renamed);
   }
 
+  private static void cleared(Job job) {
+    job.reason(Reason.NONE);
+    job.tasks().stream()
+        .filter(task -> task.phase() == Phase.IN_DOUBT)
+        .forEach(task -> task.phase(Phase.WAITING));
+  }
+
   private void refuse(Job job, JournalException e) {
+    if (e.type() == JournalException.Type.UNKNOWN) {
+      job.maybeClaim();
+    }
+    if (job.maybeClaimed() && e.type() != JournalException.Type.CLAIMED_ELSEWHERE) {
+      claimAgainLater(job, e);
+      return;
+    }
     ReasonType type =
         e.type() == JournalException.Type.CLAIMED_ELSEWHERE
             ? ReasonType.KEY_REUSED
             : ReasonType.LOG_UNAVAILABLE;
-    end(job, type, e.explanation());
+    job.reason(new Reason(type, e.explanation()));
+    job.tasks().forEach(task -> task.phase(Phase.NOT_RUN));
+    job.end(state.nowMs());
+    job.record();
+    state.notifyWaiters(job);
     state.jobs().remove(job);
   }
 
+  /** A claim that may stand in the log is repeated until it is known; till then all is in doubt. */
+  private void claimAgainLater(Job job, JournalException e) {
+    job.reason(new Reason(ReasonType.LOG_UNAVAILABLE, e.explanation()));
+    job.tasks().forEach(task -> task.phase(Phase.IN_DOUBT));
+    CompletableFuture.delayedExecutor(CLAIM_AGAIN_MS, TimeUnit.MILLISECONDS)
+        .execute(() -> claimAgain(job));
+  }
+
+  /** Called without the lock. */
+  private void claimAgain(Job job) {
+    synchronized (state.lock()) {
+      if (!state.closed()) {
+        claim(job, true);
+      }
+    }
+    state.pump();
+  }
+
   /** Ends a job none of whose tasks has been started. */
   private void end(Job job, ReasonType type, String message) {
     job.reason(new Reason(type, message));
@@ -110,11 +165,14 @@
     if (job.ended()) {
       return;
     }
-    LedgerRestore.into(job, known, state.jobs());
+    if (!job.queued()) {
+      LedgerRestore.into(job, known, state.jobs());
+    }
     LedgerEntry.Finished finished = known.finished();
     if (finished != null) {
       job.reason(finished.reason());
       job.end(state.nowMs());
+      job.record();
       state.jobs().keepEnded(job);
       state.notifyWaiters(job);
       return;
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerAgent.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerAgent.java
@@ -130,9 +130,10 @@
     }
   }
 
+  /** Tells whether the worker is held and answers. */
   boolean held() {
     synchronized (lock) {
-      return hold.state() == State.HELD;
+      return hold.state() == State.HELD && clockMs.getAsLong() < hold.authorityUntilMs();
     }
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerTable.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerTable.java
@@ -25,12 +25,14 @@
   /** One worker. */
   private static final class Row {
     private final WorkerAgent agent;
+    private final long addedMs;
     private volatile boolean leaving;
     private volatile @Nullable WorkerInfo info;
     private volatile long askAgainMs = Long.MIN_VALUE;
 
-    private Row(WorkerAgent agent) {
+    private Row(WorkerAgent agent, long addedMs) {
       this.agent = agent;
+      this.addedMs = addedMs;
     }
   }
 
@@ -68,7 +70,7 @@
     for (HostEntry host : hosts) {
       Row row = rows.get(host.hostId());
       if (row == null) {
-        row = new Row(newAgent(host));
+        row = new Row(newAgent(host), clockMs.getAsLong());
         rows.put(host.hostId(), row);
         added.add(row.agent);
       }
@@ -76,10 +78,23 @@
       row.leaving = host.state() == HostState.LEAVING;
     }
     Set<String> listed = Set.copyOf(hosts.stream().map(HostEntry::hostId).toList());
-    rows.entrySet().removeIf(row -> !listed.contains(row.getKey()) && !row.getValue().agent.held());
+    for (Map.Entry<String, Row> row : List.copyOf(rows.entrySet())) {
+      if (!listed.contains(row.getKey())) {
+        unlisted(row.getKey(), row.getValue());
+      }
+    }
     return added;
   }
 
+  /** A worker that is no longer listed leaves; it is dropped once all on it has lapsed. */
+  private void unlisted(String workerId, Row row) {
+    row.leaving = true;
+    long lastMs = Math.max(row.addedMs, row.agent.lastReplyMs());
+    if (clockMs.getAsLong() > lastMs + settings.lapseMs()) {
+      rows.remove(workerId);
+    }
+  }
+
   private WorkerAgent newAgent(HostEntry host) {
     return new WorkerAgent(
         host.hostId(), host.address(), settings, port, clockMs, jitter, listener);
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/ConfigResource.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/ConfigResource.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.function.Predicate;
 import org.hickorymoor.daemon.audit.AuditEntry;
 import org.hickorymoor.daemon.audit.AuditFilter;
 import org.hickorymoor.daemon.audit.AuditTrail;
@@ -30,11 +31,13 @@
   private final ConfigService config;
   private final AuditedPublisher publisher;
   private final AuditTrail audit;
+  private final Predicate<String> knownWorker;
 
-  ConfigResource(ConfigService config, AuditedPublisher publisher, AuditTrail audit) {
-    this.config = config;
-    this.publisher = publisher;
-    this.audit = audit;
+  ConfigResource(HttpInterfaces.ConfigParts parts) {
+    this.config = parts.service();
+    this.publisher = parts.publisher();
+    this.audit = parts.audit();
+    this.knownWorker = parts.knownWorker();
   }
 
   @Override
@@ -132,7 +135,10 @@
             && path.get(1).equals("workers")
             && path.get(3).equals("drain")
             && (undo || call.method().equals("PUT"));
-    if (matches) {
+    if (matches && !knownWorker.test(path.get(2))) {
+      String message = "no worker " + path.get(2) + " is listed in this failure domain";
+      call.error(HttpCall.NOT_FOUND, ErrorTypes.UNKNOWN_WORKER, message);
+    } else if (matches) {
       publishDrain(call, path.get(2), !undo, DRAIN_TRIES);
     }
     return matches;
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterface.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterface.java
@@ -18,7 +18,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.hickorymoor.protocol.caller.ErrorTypes;
-import org.hickorymoor.protocol.caller.JobRecordCodec;
+import org.hickorymoor.protocol.config.ConfigCodec;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -171,11 +171,11 @@
       inFlight.incrementAndGet();
       Callback counted = Callback.from(callback, inFlight::decrementAndGet);
       long length = request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
-      if (length > JobRecordCodec.MAX_BYTES) {
+      if (length > ConfigCodec.MAX_BYTES) {
         HttpCall call = new HttpCall(request, response, counted, "");
         String message =
             "expected a body of at most "
-                + JobRecordCodec.MAX_BYTES
+                + ConfigCodec.MAX_BYTES
                 + " bytes, got "
                 + length
                 + "; make the record smaller";
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterfaces.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpInterfaces.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.audit.AuditTrail;
 import org.hickorymoor.daemon.config.AuditedPublisher;
@@ -32,8 +33,13 @@
    * @param service knows the configuration
    * @param publisher changes it
    * @param audit keeps who changed what
+   * @param knownWorker tells whether there is a worker of a name
    */
-  public record ConfigParts(ConfigService service, AuditedPublisher publisher, AuditTrail audit) {}
+  public record ConfigParts(
+      ConfigService service,
+      AuditedPublisher publisher,
+      AuditTrail audit,
+      Predicate<String> knownWorker) {}
 
   /**
    * Makes the interface of a daemon, not started.
@@ -57,6 +63,6 @@
         List.of(
             new JobResource(domain, jobs, router),
             new CellResource(domain, router, views),
-            new ConfigResource(config.service(), config.publisher(), config.audit())));
+            new ConfigResource(config)));
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
@@ -168,9 +168,18 @@
     return beginning || termId.equals(jobs.read(JobLedger::termId));
   }
 
+  /**
+   * Tells whether keys can be claimed here now.
+   *
+   * @return true if this host's term is in force and the log was read lately
+   */
+  public boolean canClaim() {
+    return termInForce && keys.readWithin(FRESH_MS);
+  }
+
   @Override
   public CompletableFuture<String> claim(String jobId, JobSpec spec) {
-    if (!termInForce || !keys.readWithin(FRESH_MS)) {
+    if (!canClaim()) {
       return failed(
           Type.LOG_OUT,
           "The log can't be reached, and without it running at most once can't be promised.");
--- a/process-tests/src/test/java/org/hickorymoor/process/Cell.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -171,6 +171,17 @@
                     .allMatch(state::equals));
   }
 
+  /** Waits until no daemon takes on jobs that must not be repeated. */
+  void awaitNoClaims(List<String> hostIds) {
+    Awaitility.await()
+        .atMost(LIMIT)
+        .until(
+            () ->
+                hostIds.stream()
+                    .noneMatch(
+                        hostId -> get(hostId, "/v1/cell").body().get("claims").getAsBoolean()));
+  }
+
   /** Sets faults of the log. */
   void logFaults(String json) {
     http.send("POST", "http://" + logAddress + "/v1/faults", json);
--- a/process-tests/src/test/java/org/hickorymoor/process/LogOutageProcessTest.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/LogOutageProcessTest.java
@@ -52,6 +52,7 @@
   @Test
   void jobThatMustNotBeRepeatedIsNotRunInAnOutageAndRunsOnceAfterIt() {
     cell.logFaults(HANG);
+    cell.awaitNoClaims(HOSTS);
     Http.Reply refused = cell.submit("e1", Records.once("plate", 50), WAIT_MS);
     assertThat(refused.state()).isEqualTo("not-run");
     assertThat(cell.startedTasks()).isEqualTo(0);
@@ -65,6 +66,19 @@
     Promises.check(cell);
   }
 
+  @Test
+  void jobWhoseClaimGotNoAnswerIsInDoubtAndRunsOnceWhenTheLogIsBack() {
+    cell.logFaults(HANG);
+
+    Http.Reply unknown = cell.submit("e1", Records.once("plate", 50), 6_000);
+    assertThat(unknown.state()).isEqualTo("in-doubt");
+    cell.logFaults(NONE);
+
+    cell.awaitState("e2", "plate", "done");
+    assertThat(cell.startedTasks()).isEqualTo(1);
+    Promises.check(cell);
+  }
+
   @Test
   void repliesToAppendsThatAreLostMakeNoSecondRun() {
     cell.logFaults("{\"loseReplies\":6}");
