Add a load tool that measures what a domain of real processes costs

No figure said what an entry host spends at a given number of workers, starts or running tasks; microbenchmarks of the policy alone leave out the calls to workers, log and peers.

--- /dev/null
+++ b/bench/src/main/java/org/hickorymoor/bench/load/ConfigLoad.java
@@ -0,0 +1,56 @@
+package org.hickorymoor.bench.load;
+
+import com.google.gson.JsonObject;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Publishes the configuration in force again and again, at an even rate. */
+final class ConfigLoad implements AutoCloseable {
+
+  private static final long MS_PER_MINUTE = 60_000;
+
+  private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+  private final AtomicInteger accepted = new AtomicInteger();
+  private final AtomicInteger failed = new AtomicInteger();
+  private final HttpCalls http;
+  private final String url;
+
+  ConfigLoad(HttpCalls http, String url) {
+    this.http = http;
+    this.url = url;
+  }
+
+  void start(int configsPerMinute) {
+    if (configsPerMinute > 0) {
+      long periodMs = MS_PER_MINUTE / configsPerMinute;
+      var unused =
+          executor.scheduleAtFixedRate(this::publish, periodMs, periodMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void publish() {
+    try {
+      JsonObject inForce = http.get(url + "/v1/config");
+      String query = "?expectedVersion=" + inForce.get("version").getAsLong();
+      http.call("POST", url + "/v1/config" + query, inForce.get("record").toString());
+      accepted.incrementAndGet();
+    } catch (LoadException e) {
+      failed.incrementAndGet();
+    }
+  }
+
+  int accepted() {
+    return accepted.get();
+  }
+
+  int failed() {
+    return failed.get();
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hickorymoor/bench/load/HeapReader.java
@@ -0,0 +1,38 @@
+package org.hickorymoor.bench.load;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads how much heap of a Java process is in use after a full collection, through jcmd. */
+final class HeapReader {
+
+  private static final Pattern GENERATION =
+      Pattern.compile("(?:def new|tenured) generation\\s+total \\d+K, used (\\d+)K");
+
+  private HeapReader() {}
+
+  static long usedAfterCollectionKb(long pid) throws IOException {
+    jcmd(pid, "GC.run");
+    return usedKb(jcmd(pid, "GC.heap_info"));
+  }
+
+  /** Adds up the generations of the serial collector. */
+  static long usedKb(String heapInfo) {
+    Matcher matcher = GENERATION.matcher(heapInfo);
+    long usedKb = 0;
+    while (matcher.find()) {
+      usedKb += Long.parseLong(matcher.group(1));
+    }
+    return usedKb;
+  }
+
+  private static String jcmd(long pid, String command) throws IOException {
+    String program = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+    Process process = new ProcessBuilder(program, Long.toString(pid), command).start();
+    return new String(process.getInputStream().readAllBytes(), UTF_8);
+  }
+}
