--- a/bench/src/main/java/org/hickorymoor/bench/load/ChildProcess.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/ChildProcess.java
@@ -48,7 +48,9 @@
     command.addAll(args);
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.redirectError(ProcessBuilder.Redirect.appendTo(errorFile.toFile()));
-    return new ChildProcess(builder.start());
+    Process process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    return new ChildProcess(process);
   }
 
   private void read() {
--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
@@ -28,7 +28,8 @@
   private static final List<String> PLATFORM_OPTIONS =
       List.of("-Xmx384m", "-Xss256k", "-XX:+UseSerialGC");
   private static final long SETTLE_LIMIT_MS = 60_000;
-  private static final long POLL_MS = 100;
+  private static final long POLL_MS = 20;
+  private static final long NS_PER_MS = 1_000_000;
 
   /**
    * An entry host and the proxies on its way to the platform.
@@ -137,9 +138,23 @@
             hostId, HostRole.ENTRY, DOMAIN, REGION, "rack-0", addresses.get(1), HostState.LIVE));
   }
 
+  /** Kills the coordinator and returns the time until another one holds every worker, in ms. */
+  long killCoordinator() throws LoadException, InterruptedException {
+    for (EntryProcess daemon : List.copyOf(daemons)) {
+      if (coordinates(daemon)) {
+        final long startNs = System.nanoTime();
+        daemon.process().close();
+        daemons.remove(daemon);
+        awaitSettled();
+        return (System.nanoTime() - startNs) / NS_PER_MS;
+      }
+    }
+    throw new LoadException("expected a coordinator of " + point + ", found none");
+  }
+
   private void awaitSettled() throws LoadException, InterruptedException {
-    long limitMs = System.nanoTime() / 1_000_000 + SETTLE_LIMIT_MS;
-    while (System.nanoTime() / 1_000_000 < limitMs) {
+    long limitNs = System.nanoTime() + SETTLE_LIMIT_MS * NS_PER_MS;
+    while (System.nanoTime() < limitNs) {
       for (EntryProcess daemon : daemons) {
         JsonObject cell = http.get(url(daemon, "/v1/cell"));
         if (cell.get("workersOwned").getAsInt() == point.workers() && isCoordinator(cell)) {
--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadMain.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadMain.java
@@ -68,6 +68,9 @@
   @Option(name = "--repeat", metaVar = "N", usage = "how often each point is measured")
   private int repeat = 1;
 
+  @Option(name = "--kill-coordinator", usage = "kill it after each point and time the takeover")
+  private boolean killCoordinator = false;
+
   private LoadMain() {}
 
   /**
@@ -98,7 +101,8 @@
     LoadPoint base =
         new LoadPoint(workers, daemons, listed, starts, tasksPerJob, running, teams, configs);
     Path folder = Files.createDirectories(Path.of(out));
-    LoadRun run = new LoadRun(Files.createTempDirectory("load"), warmUpSeconds, seconds);
+    LoadRun run =
+        new LoadRun(Files.createTempDirectory("load"), warmUpSeconds, seconds, killCoordinator);
     String file = name.isEmpty() ? axis.text() : name;
     List<LoadRow> rows = new ArrayList<>();
     for (int value : values()) {
--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadRow.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadRow.java
@@ -14,6 +14,8 @@
  * @param point size and load
  * @param coordinator whether the host coordinated its domain
  * @param cost what it cost
+ * @param takeoverMs time from the coordinator's death until another held every worker; 0 if it was
+ *     not killed
  * @param states how many submissions ended in each state
  * @param waits waiting times in ms by class
  */
@@ -23,6 +25,7 @@
     LoadPoint point,
     boolean coordinator,
     DaemonCost cost,
+    long takeoverMs,
     Map<String, Long> states,
     Map<String, Histogram> waits) {
 
@@ -52,7 +55,7 @@
     names.addAll(List.of("workers", "daemons", "listedElsewhere", "startsPerSecond"));
     names.addAll(List.of("tasksPerJob", "running", "teams", "configsPerMinute"));
     names.addAll(COST_COLUMNS);
-    names.add("states");
+    names.addAll(List.of("takeoverMs", "states"));
     for (String name : WAIT_CLASSES) {
       names.addAll(List.of(name + "Jobs", name + "P50Ms", name + "P99Ms", name + "MaxMs"));
     }
@@ -78,6 +81,10 @@
     };
   }
 
+  LoadRow withTakeoverMs(long measuredMs) {
+    return new LoadRow(axis, value, point, coordinator, cost, measuredMs, states, waits);
+  }
+
   String role() {
     return coordinator ? "coordinator" : "other";
   }
@@ -90,7 +97,7 @@
     for (double number : costs()) {
       values.add(String.format(Locale.ROOT, "%.2f", number));
     }
-    values.add(states);
+    values.addAll(List.of(takeoverMs, states));
     for (String name : WAIT_CLASSES) {
       addWait(values, waits.getOrDefault(name, NO_WAITS));
     }
--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadRun.java
@@ -17,11 +17,13 @@
   private final Path folder;
   private final int warmUpSeconds;
   private final int seconds;
+  private final boolean killCoordinator;
 
-  LoadRun(Path folder, int warmUpSeconds, int seconds) {
+  LoadRun(Path folder, int warmUpSeconds, int seconds, boolean killCoordinator) {
     this.folder = folder;
     this.warmUpSeconds = warmUpSeconds;
     this.seconds = seconds;
+    this.killCoordinator = killCoordinator;
   }
 
   List<LoadRow> measure(LoadPoint.Axis axis, int value, LoadPoint point)
@@ -58,9 +60,13 @@
       long heapKb = HeapReader.usedAfterCollectionKb(daemon.process().pid());
       DaemonCost cost = DaemonCost.between(before.get(i), after.get(i), heapKb);
       Map<String, Long> states = states(load, configs, firstStartsMs.size());
-      rows.add(new LoadRow(axis, value, point, cell.coordinates(daemon), cost, states, waits));
+      rows.add(new LoadRow(axis, value, point, cell.coordinates(daemon), cost, 0, states, waits));
     }
-    return rows;
+    if (!killCoordinator) {
+      return rows;
+    }
+    long takeoverMs = cell.killCoordinator();
+    return rows.stream().map(row -> row.withTakeoverMs(takeoverMs)).toList();
   }
 
   private static Map<String, Long> states(JobLoad load, ConfigLoad configs, int jobsStarted) {
