--- a/bench/src/main/java/org/hickorymoor/bench/load/JobLoad.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/JobLoad.java
@@ -134,13 +134,18 @@
     return Map.copyOf(states);
   }
 
-  /** Returns by class how long jobs waited from the time they were due to their first start. */
-  Map<String, Histogram> waits(Map<String, Long> firstStartsMs) {
+  /**
+   * Returns by class how long jobs waited from the time they were due to their first start.
+   *
+   * @param firstStartsMs first starts by job
+   * @param fromMs jobs due earlier are left out
+   */
+  Map<String, Histogram> waits(Map<String, Long> firstStartsMs, long fromMs) {
     Map<String, Histogram> waits = new HashMap<>();
     byJobId.forEach(
         (jobId, submitted) -> {
           Long startedMs = firstStartsMs.get(jobId);
-          if (startedMs != null) {
+          if (startedMs != null && submitted.dueMs() >= fromMs) {
             long waitMs = Math.max(0, startedMs - submitted.dueMs());
             waits
                 .computeIfAbsent(
--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadRun.java
@@ -12,6 +12,7 @@
 final class LoadRun {
 
   private static final long MS_PER_SECOND = 1_000;
+  private static final long NS_PER_MS = 1_000_000;
 
   private final HttpCalls http = new HttpCalls();
   private final Path folder;
@@ -49,11 +50,12 @@
     load.submitServices();
     submit(load, warmUpSeconds);
     List<Snapshot> before = snapshots(cell);
+    final long fromMs = before.get(0).atNs() / NS_PER_MS;
     submit(load, seconds);
     List<Snapshot> after = snapshots(cell);
     load.awaitAnswers();
     Map<String, Long> firstStartsMs = cell.firstStartsMs();
-    Map<String, Histogram> waits = load.waits(firstStartsMs);
+    Map<String, Histogram> waits = load.waits(firstStartsMs, fromMs);
     List<LoadRow> rows = new ArrayList<>();
     for (int i = 0; i < cell.daemons().size(); i++) {
       LoadCell.EntryProcess daemon = cell.daemons().get(i);
@@ -78,9 +80,9 @@
   }
 
   private static void submit(JobLoad load, int seconds) throws InterruptedException {
-    long endMs = System.nanoTime() / 1_000_000 + seconds * MS_PER_SECOND;
+    long endMs = System.nanoTime() / NS_PER_MS + seconds * MS_PER_SECOND;
     load.submitFor(seconds);
-    Thread.sleep(Math.max(0, endMs - System.nanoTime() / 1_000_000));
+    Thread.sleep(Math.max(0, endMs - System.nanoTime() / NS_PER_MS));
   }
 
   private List<Snapshot> snapshots(LoadCell cell) throws IOException, LoadException {
