Count bytes to every worker in the load tool

Best fit packs tasks onto few workers, so the one worker whose bytes were counted had none and its bytes did not grow with load. Each worker now has its counter, and the column is the mean.

--- a/bench/src/main/java/org/hickorymoor/bench/load/DaemonCost.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/DaemonCost.java
@@ -7,7 +7,7 @@
  * @param residentKb resident memory at the end
  * @param threads threads at the end
  * @param heapKb heap in use after a full collection
- * @param workerBytesPerSecond bytes both ways of one worker
+ * @param workerBytesPerSecond bytes both ways of a worker, on average
  * @param logBytesPerSecond bytes both ways of the log
  * @param hostListBytesPerSecond bytes both ways of the host list
  * @param peerBytesPerSecond bytes both ways of other entry hosts
--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
@@ -47,6 +47,7 @@
   private final LoadPoint point;
   private final List<ChildProcess> processes = new ArrayList<>();
   private final List<FaultProxy> proxies = new ArrayList<>();
+  private final List<FaultProxy> workerProxies = new ArrayList<>();
   private final List<String> workerAddresses = new ArrayList<>();
   private final List<EntryProcess> daemons = new ArrayList<>();
   private String hostsAddress = "";
@@ -99,9 +100,12 @@
     for (int i = 0; i < point.workers(); i++) {
       String address = process.awaitAddress();
       workerAddresses.add(address);
-      String reached = i == 0 ? proxyTo(address).address() : address;
+      FaultProxy proxy = proxyTo(address);
+      workerProxies.add(proxy);
       String rack = "rack-" + i / WORKERS_PER_RACK;
-      list(new HostEntry("w" + i, HostRole.WORKER, DOMAIN, REGION, rack, reached, HostState.LIVE));
+      list(
+          new HostEntry(
+              "w" + i, HostRole.WORKER, DOMAIN, REGION, rack, proxy.address(), HostState.LIVE));
     }
   }
 
@@ -182,9 +186,9 @@
     return isCoordinator(http.get(url(daemon, "/v1/cell")));
   }
 
-  /** Returns the bytes both ways between the domain's entry hosts and one worker. */
+  /** Returns the bytes both ways between the domain's entry hosts and a worker, on average. */
   long bytesOfOneWorker() {
-    return bytes(proxies.get(0));
+    return workerProxies.stream().mapToLong(LoadCell::bytes).sum() / workerProxies.size();
   }
 
   static long bytes(FaultProxy proxy) {
--- a/bench/src/main/java/org/hickorymoor/bench/load/Snapshot.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/Snapshot.java
@@ -11,7 +11,7 @@
  *
  * @param atNs the moment, on the machine's monotonic clock
  * @param usage what its process has used
- * @param workerBytes bytes both ways of one worker
+ * @param workerBytes bytes both ways of a worker, on average
  * @param logBytes bytes both ways of the log
  * @param hostListBytes bytes both ways of the host list
  * @param peerBytes bytes both ways of other entry hosts
