Prove with real processes what hosts and domains do when they are cut off

Cause: no process test cut an entry host off from only some of what it talks to; the log alone was taken out for everybody at once.

Change: an entry host can be started with the log, its workers and its peers behind proxies, by a host list of its own. Promises also checks that on no worker the terms of coordinators interleave.

--- a/process-tests/src/test/java/org/hickorymoor/process/Cell.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -2,18 +2,26 @@
 
 import com.google.gson.Gson;
 import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.hickorymoor.daemon.HickorymoordMain;
 import org.hickorymoor.platform.PlatformMain;
+import org.hickorymoor.platform.proxy.FaultProxy;
+import org.hickorymoor.platform.proxy.ProxySettings;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
@@ -34,6 +42,7 @@
   private static final String REGION = "north";
   private static final int READY_ADDRESS = 2;
   private static final int READY_PEER_ADDRESS = 4;
+  private static final long PROXY_SEED = 1;
 
   private final Path directory;
   private final Gson gson = new Gson();
@@ -44,7 +53,12 @@
   private final Map<String, String> workerAddresses = new LinkedHashMap<>();
   private final String logAddress;
   private final String hostsAddress;
+  private final List<FaultProxy> proxies = new ArrayList<>();
+  private final List<JsonObject> recordsOfDead = new ArrayList<>();
+  private final Map<String, String> peerAddresses = new LinkedHashMap<>();
+  private final Map<String, String> workerDomains = new LinkedHashMap<>();
   private String daemonLogAddress;
+  private String daemonHostsAddress;
 
   Cell(Path directory) {
     this.directory = directory;
@@ -53,6 +67,7 @@
     logAddress = log.awaitReady().get(READY_ADDRESS);
     hostsAddress = hosts.awaitReady().get(READY_ADDRESS);
     daemonLogAddress = logAddress;
+    daemonHostsAddress = hostsAddress;
   }
 
   private JavaProcess platform(String kind, List<String> options) {
@@ -73,6 +88,65 @@
     daemonLogAddress = address;
   }
 
+  /** Has daemons that start from now on read another host list. */
+  void readHostsAt(String address) {
+    daemonHostsAddress = address;
+  }
+
+  String hostsAddress() {
+    return hostsAddress;
+  }
+
+  /** Starts a further host list, for daemons that are to reach others at other addresses. */
+  String startHostList() {
+    return platform("hosts", List.of()).awaitReady().get(READY_ADDRESS);
+  }
+
+  /** Starts a proxy to an address. */
+  FaultProxy startProxy(String targetAddress) {
+    FaultProxy proxy = new FaultProxy(ProxySettings.to(targetAddress, PROXY_SEED));
+    try {
+      proxy.start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    proxies.add(proxy);
+    return proxy;
+  }
+
+  /** Starts a worker in a process of its own and lists it at the address of a proxy to it. */
+  ProxiedWorker startProxiedWorker(String id, String domain, String... options) {
+    List<String> args = new ArrayList<>(List.of("--domain", domain, "--id", id));
+    args.addAll(List.of("--rack", domain + "-rack"));
+    args.addAll(List.of(options));
+    JavaProcess process = platform("worker", args);
+    String address = process.awaitReady().get(READY_ADDRESS);
+    FaultProxy proxy = startProxy(address);
+    workerAddresses.put(id, address);
+    workerDomains.put(id, domain);
+    list(id, HostRole.WORKER, domain, proxy.address(), HostState.LIVE);
+    return new ProxiedWorker(id, process, address, proxy);
+  }
+
+  /**
+   * Kills a worker and keeps what it saw; what ran on it ended at its death at the latest.
+   *
+   * <p>Nothing may be about to start on it, as a start after its last record would be missed.
+   */
+  void killWorker(ProxiedWorker worker) {
+    JsonObject record = workerRecord(worker.id());
+    worker.process().kill();
+    long deadHostMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    workerAddresses.remove(worker.id());
+    recordsOfDead.add(Records.endedAt(record, deadHostMs));
+  }
+
+  /** Returns what a living worker saw by itself. */
+  JsonObject workerRecord(String workerId) {
+    String address = workerAddresses.get(workerId);
+    return http.send("GET", "http://" + address + "/v1/record", "").body();
+  }
+
   /** Starts workers of one domain in one process, with names {@code domain-w0} and so on. */
   JavaProcess startWorkers(String domain, int count, String... options) {
     List<String> args = new ArrayList<>(List.of("--domain", domain, "--rack", domain + "-rack"));
@@ -86,14 +160,26 @@
     for (String name : names) {
       String address = process.awaitReady().get(READY_ADDRESS);
       workerAddresses.put(name, address);
+      workerDomains.put(name, domain);
       list(name, HostRole.WORKER, domain, address, HostState.LIVE);
     }
     return process;
   }
 
   void list(String hostId, HostRole role, String domain, String address, HostState state) {
+    listIn(hostsAddress, hostId, role, domain, address, state);
+  }
+
+  /** Lists a host in one of several host lists. */
+  void listIn(
+      String hostList,
+      String hostId,
+      HostRole role,
+      String domain,
+      String address,
+      HostState state) {
     HostEntry entry = new HostEntry(hostId, role, domain, REGION, domain + "-rack", address, state);
-    http.send("PUT", "http://" + hostsAddress + "/v1/hosts/" + hostId, gson.toJson(entry));
+    http.send("PUT", "http://" + hostList + "/v1/hosts/" + hostId, gson.toJson(entry));
   }
 
   void unlist(String hostId) {
@@ -105,7 +191,7 @@
     List<String> args = new ArrayList<>();
     args.addAll(List.of("--host-id", hostId, "--domain", domain, "--region", REGION));
     args.addAll(List.of("--http-bind", "127.0.0.1:0", "--peer-bind", "127.0.0.1:0"));
-    args.addAll(List.of("--log", daemonLogAddress, "--hosts", hostsAddress));
+    args.addAll(List.of("--log", daemonLogAddress, "--hosts", daemonHostsAddress));
     args.addAll(List.of("--host-list-poll-ms", "200", "--status-ms", "200"));
     args.addAll(List.of(options));
     JavaProcess process =
@@ -114,10 +200,26 @@
     List<String> ready = process.awaitReady();
     daemons.put(hostId, process);
     httpAddresses.put(hostId, ready.get(READY_ADDRESS));
+    peerAddresses.put(hostId, ready.get(READY_PEER_ADDRESS));
     list(hostId, HostRole.ENTRY, domain, ready.get(READY_PEER_ADDRESS), HostState.LIVE);
     return process;
   }
 
+  String peerAddress(String hostId) {
+    return peerAddresses.get(hostId);
+  }
+
+  String workerAddress(String workerId) {
+    return workerAddresses.get(workerId);
+  }
+
+  /** Returns the workers of a failure domain that live. */
+  List<String> workerIds(String domain) {
+    return workerAddresses.keySet().stream()
+        .filter(workerId -> workerDomains.get(workerId).equals(domain))
+        .toList();
+  }
+
   JavaProcess daemon(String hostId) {
     return daemons.get(hostId);
   }
@@ -153,6 +255,18 @@
         .orElseThrow();
   }
 
+  /** Waits until daemons know which host coordinates. */
+  void awaitKnownCoordinator(String coordinator, List<String> hostIds) {
+    Awaitility.await()
+        .atMost(LIMIT)
+        .until(() -> hostIds.stream().allMatch(hostId -> knows(hostId, coordinator)));
+  }
+
+  private boolean knows(String hostId, String coordinator) {
+    JsonElement known = get(hostId, "/v1/cell").body().get("coordinatorId");
+    return known != null && known.getAsString().equals(coordinator);
+  }
+
   /** Submits again while the answer is that the job was not run, as a caller would. */
   Http.Reply submitUntilRun(String hostId, String record, long waitMs) {
     return Awaitility.await()
@@ -189,9 +303,9 @@
 
   /** Returns what every worker saw by itself. */
   List<JsonObject> workerRecords() {
-    return workerAddresses.values().stream()
-        .map(address -> http.send("GET", "http://" + address + "/v1/record", "").body())
-        .toList();
+    List<JsonObject> records = new ArrayList<>(recordsOfDead);
+    workerAddresses.keySet().forEach(workerId -> records.add(workerRecord(workerId)));
+    return records;
   }
 
   /** Counts how often tasks of a job began to run on any worker. */
@@ -207,6 +321,40 @@
     return starts;
   }
 
+  /** Returns the jobs any of whose tasks began to run on any worker. */
+  Set<String> startedJobs() {
+    Set<String> started = new HashSet<>();
+    for (JsonObject record : workerRecords()) {
+      for (var start : record.getAsJsonArray("starts")) {
+        String taskId = start.getAsJsonObject().get("taskId").getAsString();
+        started.add(taskId.substring(0, Math.max(0, taskId.indexOf('/'))));
+      }
+    }
+    return started;
+  }
+
+  /** Counts how often tasks of any job began to run on one worker that lives. */
+  int startsOn(String workerId) {
+    return startsOnSince(workerId, Long.MIN_VALUE);
+  }
+
+  /** Counts the starts on one worker that lives from a time of the machine's clock on. */
+  int startsOnSince(String workerId, long fromHostMs) {
+    int starts = 0;
+    for (var start : workerRecord(workerId).getAsJsonArray("starts")) {
+      JsonObject started = start.getAsJsonObject();
+      boolean isTask = !started.get("taskId").getAsString().startsWith("hold:");
+      starts += isTask && started.get("hostMs").getAsLong() >= fromHostMs ? 1 : 0;
+    }
+    return starts;
+  }
+
+  /** Waits until the only task of a job of team {@code team} runs, and returns its worker. */
+  String awaitWorkerOf(String hostId, String key) {
+    awaitState(hostId, key, "running");
+    return get(hostId, "/v1/jobs/team/" + key).workerId(0);
+  }
+
   /** Counts how often tasks of any job began to run on any worker. */
   int startedTasks() {
     int started = 0;
@@ -222,5 +370,6 @@
   @Override
   public void close() {
     processes.forEach(JavaProcess::kill);
+    proxies.forEach(FaultProxy::stop);
   }
 }
--- a/process-tests/src/test/java/org/hickorymoor/process/Http.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Http.java
@@ -35,7 +35,19 @@
     }
 
     String output(int task) {
-      return body.getAsJsonArray("tasks").get(task).getAsJsonObject().get("output").getAsString();
+      return task(task).get("output").getAsString();
+    }
+
+    String workerId(int task) {
+      return task(task).get("workerId").getAsString();
+    }
+
+    String jobId() {
+      return body.get("jobId").getAsString();
+    }
+
+    private JsonObject task(int index) {
+      return body.getAsJsonArray("tasks").get(index).getAsJsonObject();
     }
   }
 
--- a/process-tests/src/test/java/org/hickorymoor/process/Promises.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Promises.java
@@ -28,6 +28,20 @@
     assertWithMessage("runs in two places at once").that(overlaps(records)).isEmpty();
   }
 
+  /** Checks that on no worker a term of a coordinator went on starting tasks after another's. */
+  static void checkTermsInSequence(Cell cell) {
+    for (JsonObject record : cell.workerRecords()) {
+      List<String> terms = new ArrayList<>();
+      for (Run run : runs(record)) {
+        String term = run.taskId().substring(run.taskId().lastIndexOf('~') + 1);
+        if (terms.isEmpty() || !terms.get(terms.size() - 1).equals(term)) {
+          terms.add(term);
+        }
+      }
+      assertWithMessage("terms that started tasks on a worker").that(terms).containsNoDuplicates();
+    }
+  }
+
   private static List<String> overlaps(List<JsonObject> records) {
     Map<String, List<Run>> byTask = new HashMap<>();
     for (JsonObject record : records) {
--- a/process-tests/src/test/java/org/hickorymoor/process/Records.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Records.java
@@ -1,8 +1,13 @@
 package org.hickorymoor.process;
 
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.util.HashSet;
+import java.util.Set;
 
-/** Makes job records of team {@code team}. */
+/** Makes job records of team {@code team}, and completes records of workers. */
 final class Records {
 
   private static final int CPU_MILLIS = 100;
@@ -28,6 +33,24 @@
     return record(key, "service", tasks, -1, "", true);
   }
 
+  /** A repeatable batch job of one task for a certain failure domain, in schema version 2. */
+  static String inDomain(String domain, String key, long runMs) {
+    JsonObject record =
+        JsonParser.parseString(batch(key, "normal", 1, runMs, "far")).getAsJsonObject();
+    JsonObject demand = new JsonObject();
+    demand.add("cpuMillis", record.remove("cpuMillis"));
+    demand.add("memoryMb", record.remove("memoryMb"));
+    JsonObject tasks = new JsonObject();
+    tasks.add("payload", record.remove("payload"));
+    tasks.add("demand", demand);
+    JsonObject placement = new JsonObject();
+    placement.addProperty("domain", domain);
+    record.addProperty("schemaVersion", 2);
+    record.add("tasks", tasks);
+    record.add("placement", placement);
+    return record.toString();
+  }
+
   private static String record(
       String key, String kind, int tasks, long runMs, String output, boolean repeatable) {
     JsonObject payload = new JsonObject();
@@ -47,4 +70,24 @@
     record.addProperty("payload", payload.toString());
     return record.toString();
   }
+
+  /** Returns what a worker saw, with every run that had no end ended at a time. */
+  static JsonObject endedAt(JsonObject workerRecord, long hostMs) {
+    JsonObject whole = workerRecord.deepCopy();
+    JsonArray ends = whole.getAsJsonArray("ended");
+    Set<String> ended = new HashSet<>();
+    for (JsonElement end : ends) {
+      ended.add(end.getAsJsonObject().get("taskId").getAsString());
+    }
+    for (JsonElement start : whole.getAsJsonArray("starts")) {
+      String taskId = start.getAsJsonObject().get("taskId").getAsString();
+      if (ended.add(taskId)) {
+        JsonObject end = new JsonObject();
+        end.addProperty("taskId", taskId);
+        end.addProperty("hostMs", hostMs);
+        ends.add(end);
+      }
+    }
+    return whole;
+  }
 }
