Remember which jobs ran once for all, and bound what ended jobs take

Cause: an ended job beyond the bound was forgotten, so the same key, which must run at most once, would have been started anew under its old claim; and 50,000 ended jobs fill a heap of 40 MB near 11,000 (slope of 1.9 KB a job, docs/CAPACITY.md). Change: a dropped job's name stays known, the log's answer about an earlier claim is taken from the ledger, 4,000 ended jobs are kept, and what must not run again outlives the log's retention.

--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
@@ -70,12 +70,16 @@
 
   /** Goes on under the name by which the domain claimed the key earlier. */
   private void rename(Job job, String jobId) {
+    state.jobs().remove(job);
     Job renamed = state.jobs().byId(jobId);
+    if (renamed == null) {
+      state.context().journal().find(jobId).ifPresent(known -> restore(known, true));
+      renamed = state.jobs().byId(jobId);
+    }
     if (renamed == null) {
       renamed = new Job(jobId, job.spec(), job.acceptedMs());
+      state.jobs().add(renamed);
     }
-    state.jobs().remove(job);
-    state.jobs().add(renamed);
     renamed.want();
     job.takeWaiters().forEach(renamed::await);
     if (renamed.ended()) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobJournal.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.daemon.coordinator;
 
 import java.util.Collection;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.job.JobSpec;
@@ -42,6 +43,14 @@
    */
   CompletableFuture<String> claim(String jobId, JobSpec spec);
 
+  /**
+   * Finds what the log knows of a job.
+   *
+   * @param jobId the job
+   * @return what is known, or empty
+   */
+  Optional<LedgerJob> find(String jobId);
+
   /**
    * Records that a job was taken on.
    *
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobTable.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobTable.java
@@ -12,7 +12,7 @@
 /** The jobs of a cell and the tasks that each worker may hold. Guarded by the lock of its cell. */
 final class JobTable {
 
-  private static final int MAX_ENDED = 50_000;
+  private static final int MAX_ENDED = 4_000;
 
   /**
    * One task of one job.
--- a/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -43,7 +44,7 @@
   private static final long APPEND_TIMEOUT_MS = 3_000;
   private static final long FRESH_MS = 4_000;
   private static final long CHECK_MS = 500;
-  private static final int MAX_FINISHED = 20_000;
+  private static final int MAX_FINISHED = 4_000;
   private static final int REAPPENDS_PER_RETENTION = 4;
 
   private final String hostId;
@@ -197,11 +198,24 @@
           Type.CLAIMED_ELSEWHERE,
           "Failure domain " + holder.domain() + " holds the key; ask there.");
     }
+    if (jobs.read(ledger -> ledger.hasDropped(holder.jobId()))) {
+      return failed(
+          Type.CLAIMED_ELSEWHERE,
+          "Job " + holder.jobId() + " had the key and has ended; its result is kept no longer.");
+    }
+    if (find(holder.jobId()).isPresent()) {
+      return CompletableFuture.completedFuture(holder.jobId());
+    }
     LedgerEntry accepted = new LedgerEntry.Accepted(holder.jobId(), spec, wallClockMs.getAsLong());
     return jobs.appendAndApply(LedgerJson.write(accepted), APPEND_TIMEOUT_MS)
         .thenApply(unused -> holder.jobId());
   }
 
+  @Override
+  public Optional<LedgerJob> find(String jobId) {
+    return jobs.read(ledger -> ledger.find(jobId));
+  }
+
   @Override
   public CompletableFuture<Void> accepted(String jobId, JobSpec spec) {
     return append(new LedgerEntry.Accepted(jobId, spec, wallClockMs.getAsLong()));
--- a/domain/src/main/java/org/hickorymoor/domain/ledger/JobLedger.java
+++ b/domain/src/main/java/org/hickorymoor/domain/ledger/JobLedger.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hickorymoor.domain.job.TaskId;
 
 /**
@@ -17,6 +19,7 @@
 public final class JobLedger {
 
   private final Map<String, LedgerJob> jobs = new LinkedHashMap<>();
+  private final Set<String> dropped = new HashSet<>();
   private final int maxFinished;
   private int finishedCount;
   private String termId = "";
@@ -69,6 +72,9 @@
     for (LedgerJob job : jobs.values()) {
       if (job.finished() != null) {
         jobs.remove(job.jobId());
+        if (!job.spec().repeatable()) {
+          dropped.add(job.jobId());
+        }
         finishedCount--;
         return;
       }
@@ -94,6 +100,16 @@
     return Optional.ofNullable(jobs.get(jobId));
   }
 
+  /**
+   * Tells whether a job that must run at most once has ended and was dropped since.
+   *
+   * @param jobId the job
+   * @return true if it must not be started again although nothing else is known of it
+   */
+  public boolean hasDropped(String jobId) {
+    return dropped.contains(jobId);
+  }
+
   /**
    * Tells whether a placement stands.
    *
@@ -118,7 +134,8 @@
   }
 
   /**
-   * Writes what must be kept of the open jobs, to be appended again before retention drops it.
+   * Writes what must be kept of open jobs, and of ended ones that must not run again, to be
+   * appended again before retention drops it.
    *
    * @param beforeMs only jobs accepted before this wall-clock time
    * @return entries that bring an empty ledger to the same state of these jobs
@@ -126,7 +143,11 @@
   public List<LedgerEntry> snapshot(long beforeMs) {
     List<LedgerEntry> entries = new ArrayList<>();
     for (LedgerJob job : jobs.values()) {
-      if (job.finished() == null && job.acceptedAtMs() < beforeMs) {
+      boolean isOld = job.acceptedAtMs() < beforeMs;
+      if (isOld && job.finished() != null && !job.spec().repeatable()) {
+        entries.add(new LedgerEntry.Accepted(job.jobId(), job.spec(), job.acceptedAtMs()));
+        entries.add(job.finished());
+      } else if (isOld && job.finished() == null) {
         entries.add(new LedgerEntry.Accepted(job.jobId(), job.spec(), job.acceptedAtMs()));
         for (int index = 0; index < job.spec().taskCount(); index++) {
           addTask(entries, job, index);
--- a/domain/src/test/java/org/hickorymoor/domain/ledger/JobLedgerTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/ledger/JobLedgerTest.java
@@ -79,5 +79,7 @@
     }
 
     assertThat(small.jobs().stream().map(LedgerJob::jobId)).containsExactly("j2", "open");
+    assertThat(small.hasDropped("j1")).isTrue();
+    assertThat(small.hasDropped("never")).isFalse();
   }
 }
--- a/process-tests/src/test/java/org/hickorymoor/process/PartitionProcessTest.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/PartitionProcessTest.java
@@ -57,6 +57,7 @@
   @Test
   void jobThatMustNotBeRepeatedAndWasNotRunForWantOfTheLogHasNoStart() {
     first.cutLog(true);
+    cell.awaitNoClaims(List.of("e1"));
 
     Http.Reply refused = cell.submit("e1", Records.once("plate", 50), WAIT_MS);
     assertThat(refused.state()).isEqualTo("not-run");
