Prove with real processes that accepted configuration holds everywhere

Cause: no process test published configuration.

Ruled out: a first run gave 503 to one of two operators; the test had not waited for /readyz of every host, whose configuration was not yet read.

--- a/process-tests/src/test/java/org/hickorymoor/process/Cell.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -285,6 +285,13 @@
                     .allMatch(state::equals));
   }
 
+  /** Waits until daemons say that callers may be sent to them. */
+  void awaitServing(List<String> hostIds) {
+    Awaitility.await()
+        .atMost(LIMIT)
+        .until(() -> hostIds.stream().allMatch(id -> get(id, "/readyz").status() == 200));
+  }
+
   /** Sets faults of the log. */
   void logFaults(String json) {
     http.send("POST", "http://" + logAddress + "/v1/faults", json);
