Say accepted once the log holds the job, and wait for a cancellation's record

Cause: a job answered accepted was lost when its coordinator died before the record was appended (a test of a pair: cancellations in an outage and a dead coordinator); a cancellation was answered in-doubt at once although its record takes milliseconds. Change: accepted is answered after the append, or with a reason that says that only this coordinator knows; a cancellation waits up to 2 s for its record. Settings page checked by a test. The test of the wave submits at once, as one after another is now bounded by the append budget.

--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -10,6 +10,7 @@
 import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.job.JobSpec;
+import org.hickorymoor.domain.job.Reason;
 import org.hickorymoor.domain.job.ReasonType;
 import org.hickorymoor.domain.job.RequestKey;
 import org.hickorymoor.domain.ledger.LedgerJob;
@@ -30,6 +31,7 @@
 final class Cell {
 
   private static final long RESTORE_WAIT_MS = 1_000;
+  private static final long RECORD_WAIT_MS = 2_000;
 
   private final CellContext context;
   private final Object lock = new Object();
@@ -71,7 +73,7 @@
       Job job = new Job(jobId, spec, context.clockMs().getAsLong());
       jobs.add(job);
       intake.record(job, settled, restored);
-      answer = await(job, waitMs);
+      answer = waitMs > 0 || !spec.repeatable() ? await(job, waitMs) : accepted(job);
     }
     pump();
     return answer;
@@ -108,15 +110,16 @@
    * @param request name of the request
    * @return the answer after it, or empty if there is no such job
    */
-  Optional<JobAnswer> cancel(RequestKey request) {
-    JobAnswer answer;
+  Optional<CompletableFuture<JobAnswer>> cancel(RequestKey request) {
+    CompletableFuture<JobAnswer> answer;
     synchronized (lock) {
       Job job = jobs.byKey(request);
       if (job == null) {
         return Optional.empty();
       }
       runner.cancel(job, ReasonType.CANCELLED, "The caller cancelled the job.");
-      answer = job.answer();
+      boolean toRecord = job.ended() && !job.recorded();
+      answer = await(job, toRecord ? RECORD_WAIT_MS : 0);
     }
     pump();
     return Optional.of(answer);
@@ -304,6 +307,28 @@
     }
   }
 
+  /** Answers that a job was taken on once the log holds it, or says that it does not. */
+  private CompletableFuture<JobAnswer> accepted(Job job) {
+    return job.acceptance()
+        .orTimeout(RECORD_WAIT_MS, TimeUnit.MILLISECONDS)
+        .handle((done, failure) -> acceptedAnswer(job, failure == null));
+  }
+
+  private JobAnswer acceptedAnswer(Job job, boolean recorded) {
+    synchronized (lock) {
+      JobAnswer answer = job.answer();
+      if (recorded || answer.state().isFinal()) {
+        return answer;
+      }
+      Reason reason =
+          new Reason(
+              ReasonType.LOG_UNAVAILABLE,
+              "Only this coordinator knows of the job until the log answers.");
+      return new JobAnswer(
+          answer.request(), answer.jobId(), answer.state(), reason, 0, answer.tasks());
+    }
+  }
+
   private CompletableFuture<JobAnswer> await(Job job, long waitMs) {
     if (job.recorded() || waitMs <= 0) {
       return CompletableFuture.completedFuture(job.answer());
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellHandler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellHandler.java
@@ -51,15 +51,15 @@
           .map(answer -> answer.<PeerReply>thenApply(PeerReply.JobReply::new))
           .orElseGet(() -> completedFuture(new PeerReply.UnknownJob(get.request())));
     }
+    if (request instanceof PeerRequest.CancelJob cancel) {
+      return cell.cancel(cancel.request())
+          .map(answer -> answer.<PeerReply>thenApply(PeerReply.JobReply::new))
+          .orElseGet(() -> completedFuture(new PeerReply.UnknownJob(cancel.request())));
+    }
     return completedFuture(answerNow(cell, request));
   }
 
   private PeerReply answerNow(Cell cell, PeerRequest request) {
-    if (request instanceof PeerRequest.CancelJob cancel) {
-      return cell.cancel(cancel.request())
-          .<PeerReply>map(PeerReply.JobReply::new)
-          .orElseGet(() -> new PeerReply.UnknownJob(cancel.request()));
-    }
     if (request instanceof PeerRequest.ListJobs list) {
       return new PeerReply.JobListReply(cell.list(list.team(), list.limit()));
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
@@ -28,6 +28,7 @@
   private boolean ended;
   private boolean recorded;
   private boolean maybeClaimed;
+  private final CompletableFuture<Void> acceptance = new CompletableFuture<>();
   private boolean queued;
   private boolean wanted;
   private long endedMs;
@@ -87,6 +88,11 @@
     recorded = true;
   }
 
+  /** Completes once the log holds that the job was taken on, or fails if it can't be recorded. */
+  CompletableFuture<Void> acceptance() {
+    return acceptance;
+  }
+
   /** Tells whether a claim of its key may stand in the log without its having been seen there. */
   boolean maybeClaimed() {
     return maybeClaimed;
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
@@ -32,7 +32,22 @@
     if (settled) {
       enqueue(job);
     }
-    state.later(() -> state.context().journal().accepted(job.jobId(), job.spec()));
+    state.later(
+        () ->
+            state
+                .context()
+                .journal()
+                .accepted(job.jobId(), job.spec())
+                .whenComplete((done, failure) -> accepted(job, failure)));
+  }
+
+  /** Called without the lock. */
+  private static void accepted(Job job, @Nullable Throwable failure) {
+    if (failure == null) {
+      job.acceptance().complete(null);
+    } else {
+      job.acceptance().completeExceptionally(failure);
+    }
   }
 
   /** Claims the key of a job, once the log's claims and placements are known here. */
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/settings/DaemonSettingsTest.java
@@ -0,0 +1,59 @@
+package org.hickorymoor.daemon.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class DaemonSettingsTest {
+
+  private static final String[] ENOUGH = {
+    "--host-id", "e1",
+    "--domain", "kano",
+    "--region", "north",
+    "--log", "127.0.0.1:1",
+    "--hosts", "127.0.0.1:2"
+  };
+
+  @Test
+  void flagWinsOverItsVariable() throws SettingsException, HelpWantedException {
+    Map<String, String> environment = Map.of("HICKORYMOOR_DOMAIN", "abuja");
+
+    assertThat(DaemonSettings.parse(ENOUGH, environment).domain()).isEqualTo("kano");
+  }
+
+  @Test
+  void variableIsUsedWithoutFlag() throws SettingsException, HelpWantedException {
+    Map<String, String> environment = Map.of("HICKORYMOOR_HOLD_LEASE_MS", "5000");
+
+    assertThat(DaemonSettings.parse(ENOUGH, environment).times().holdLeaseMs()).isEqualTo(5_000);
+  }
+
+  @Test
+  void everyMistakeIsNamedAtOnce() {
+    String[] wrong = {"--host-id", "a b", "--log", "localhost:1", "--task-lease-ms", "10"};
+
+    SettingsException refused =
+        assertThrows(SettingsException.class, () -> DaemonSettings.parse(wrong, Map.of()));
+
+    assertThat(refused.problems().stream().map(SettingProblem::flag))
+        .containsExactly(
+            "--host-id", "--domain", "--region", "--log", "--hosts", "--task-lease-ms");
+  }
+
+  @Test
+  void settingsPageIsWhatHelpPrints() throws IOException {
+    HelpWantedException help =
+        assertThrows(
+            HelpWantedException.class,
+            () -> DaemonSettings.parse(new String[] {"--help"}, Map.of()));
+
+    String page = Files.readString(Path.of("..", "docs", "operators", "settings.md"));
+
+    assertThat(page).contains(help.help().replaceAll(" +\n", "\n").strip());
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings. */
+package org.hickorymoor.daemon.settings;
--- a/process-tests/src/test/java/org/hickorymoor/process/PairsProcessTest.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/PairsProcessTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -152,9 +153,12 @@
 
   @Test
   void cancelledJobsThatWereAnsweredNotRunNeverStartThoughTheCoordinatorDies() {
+    List<CompletableFuture<Http.Reply>> submitted = new ArrayList<>();
     for (int i = 0; i < WAVE; i++) {
-      cell.submit(entry, Records.batch("wave-" + i, "normal", 1, 2_500, "whole"), 0);
+      submitted.add(
+          cell.submitAsync(entry, Records.batch("wave-" + i, "normal", 1, 2_500, "whole"), 0));
     }
+    submitted.forEach(CompletableFuture::join);
 
     final Set<String> notRun = new TreeSet<>();
     for (int i = WAVE - 1; i >= 0; i--) {
