--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
@@ -10,9 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorymoor.daemon.HickorymoordMain;
-import org.hickorymoor.platform.PlatformMain;
-import org.hickorymoor.platform.proxy.FaultProxy;
-import org.hickorymoor.platform.proxy.ProxySettings;
+import org.hickorymoor.standins.StandInsMain;
+import org.hickorymoor.standins.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.ProxySettings;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
@@ -86,7 +86,7 @@
     all.addAll(args);
     ChildProcess process =
         ChildProcess.start(
-            PlatformMain.class, PLATFORM_OPTIONS, all, folder.resolve(kind + ".err"));
+            StandInsMain.class, PLATFORM_OPTIONS, all, folder.resolve(kind + ".err"));
     processes.add(process);
     return process;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
@@ -1,9 +1,12 @@
 package org.hickorymoor.daemon.peer;
 
 import java.util.List;
+import org.hickorymoor.daemon.port.AdvicePort;
 import org.hickorymoor.domain.job.JobAnswer;
 import org.hickorymoor.domain.job.RequestKey;
+import org.hickorymoor.domain.workload.WorkloadState;
 import org.hickorymoor.protocol.platform.LogRecord;
+import org.jspecify.annotations.Nullable;
 
 /** What a daemon answers to a {@link PeerRequest}. */
 public sealed interface PeerReply {
@@ -101,4 +104,30 @@
    * @param message what was expected, what came, and how to mend it
    */
   record Refused(PeerErrorType type, String message) implements PeerReply {}
+
+  /**
+   * Answers {@link PeerRequest.GetWorkload}.
+   *
+   * @param state how far the job is, or null if the coordinator knows no such job
+   */
+  record WorkloadReply(@Nullable WorkloadState state) implements PeerReply {}
+
+  /**
+   * Answers {@link PeerRequest.GetQueueDepth}.
+   *
+   * @param waiting accepted jobs of which no task has started
+   */
+  record DepthReply(int waiting) implements PeerReply {}
+
+  /**
+   * Answers {@link PeerRequest.AskApproval}.
+   *
+   * @param approvals the approvals
+   */
+  record ApprovalReply(List<AdvicePort.Approval> approvals) implements PeerReply {
+    /** Copies the list. */
+    public ApprovalReply {
+      approvals = List.copyOf(approvals);
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -110,4 +110,41 @@
    * @param domain failure domain that the intents belong to
    */
   record FetchIntents(String domain) implements PeerRequest {}
+
+  /**
+   * Has the peer append an accepted job or a cancellation on behalf of the sender, which can't
+   * reach the store; answered by {@link PeerReply.Done}.
+   *
+   * @param key key of the record
+   * @param value content of the record
+   */
+  record RelaySubmission(String key, byte[] value) implements PeerRequest {}
+
+  /**
+   * Asks the coordinator how far a job is; answered by {@link PeerReply.WorkloadReply}.
+   *
+   * @param jobId name of the job
+   */
+  record GetWorkload(String jobId) implements PeerRequest {}
+
+  /**
+   * Asks the coordinator how many jobs of a queue wait; answered by {@link PeerReply.DepthReply}.
+   *
+   * @param queue name of the queue
+   */
+  record GetQueueDepth(String queue) implements PeerRequest {}
+
+  /**
+   * Has the peer ask for approvals; answered by {@link PeerReply.ApprovalReply}.
+   *
+   * @param step name of the step
+   * @param workerIds workers to decide about
+   * @param withinMs time for the call to the service
+   */
+  record AskApproval(String step, List<String> workerIds, long withinMs) implements PeerRequest {
+    /** Copies the list. */
+    public AskApproval {
+      workerIds = List.copyOf(workerIds);
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -1,14 +1,18 @@
 package org.hickorymoor.daemon.peer;
 
 import java.io.IOException;
+import org.hickorymoor.daemon.peer.PeerRequest.AskApproval;
 import org.hickorymoor.daemon.peer.PeerRequest.CancelJob;
 import org.hickorymoor.daemon.peer.PeerRequest.DrainWorker;
 import org.hickorymoor.daemon.peer.PeerRequest.ExplainJob;
 import org.hickorymoor.daemon.peer.PeerRequest.FetchConfig;
 import org.hickorymoor.daemon.peer.PeerRequest.FetchIntents;
 import org.hickorymoor.daemon.peer.PeerRequest.GetJob;
+import org.hickorymoor.daemon.peer.PeerRequest.GetQueueDepth;
+import org.hickorymoor.daemon.peer.PeerRequest.GetWorkload;
 import org.hickorymoor.daemon.peer.PeerRequest.ListJobs;
 import org.hickorymoor.daemon.peer.PeerRequest.ListWorkers;
+import org.hickorymoor.daemon.peer.PeerRequest.RelaySubmission;
 import org.hickorymoor.daemon.peer.PeerRequest.Status;
 import org.hickorymoor.daemon.peer.PeerRequest.StoreIntent;
 import org.hickorymoor.daemon.peer.PeerRequest.SubmitJob;
@@ -44,10 +48,44 @@
               1,
               FetchIntents.class,
               (out, fetch) -> out.packString(fetch.domain()),
-              in -> new FetchIntents(in.unpackString()));
+              in -> new FetchIntents(in.unpackString()))
+          .add(12, 2, RelaySubmission.class, RequestCodec::writeRelay, RequestCodec::readRelay)
+          .add(
+              13,
+              1,
+              GetWorkload.class,
+              (out, get) -> out.packString(get.jobId()),
+              in -> new GetWorkload(in.unpackString()))
+          .add(
+              14,
+              1,
+              GetQueueDepth.class,
+              (out, get) -> out.packString(get.queue()),
+              in -> new GetQueueDepth(in.unpackString()))
+          .add(15, 3, AskApproval.class, RequestCodec::writeAsk, RequestCodec::readAsk);
 
   private RequestCodec() {}
 
+  private static void writeRelay(MessagePacker out, RelaySubmission relay) throws IOException {
+    out.packString(relay.key());
+    out.packBinaryHeader(relay.value().length);
+    out.writePayload(relay.value());
+  }
+
+  private static RelaySubmission readRelay(MessageUnpacker in) throws IOException {
+    return new RelaySubmission(in.unpackString(), in.readPayload(in.unpackBinaryHeader()));
+  }
+
+  private static void writeAsk(MessagePacker out, AskApproval ask) throws IOException {
+    out.packString(ask.step());
+    Fields.writeTexts(out, ask.workerIds());
+    out.packLong(ask.withinMs());
+  }
+
+  private static AskApproval readAsk(MessageUnpacker in) throws IOException {
+    return new AskApproval(in.unpackString(), Fields.readTexts(in), in.unpackLong());
+  }
+
   static void writeStatus(MessagePacker out, Status status) throws IOException {
     out.packString(status.hostId());
     out.packString(status.incarnation());
--- a/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
@@ -3,7 +3,8 @@
 /**
  * Tells that the platform could not be asked, or gave no usable answer.
  *
- * <p>Only {@link Type#REFUSED} and {@link Type#UNREACHABLE} say that the call had no effect.
+ * <p>Only {@link Type#NO_ANSWER} and {@link Type#BAD_ANSWER} leave open whether the call had its
+ * effect.
  */
 public final class PlatformException extends Exception {
 
@@ -21,7 +22,16 @@
     REFUSED,
 
     /** The answer could not be read; the call may have had its effect. */
-    BAD_ANSWER
+    BAD_ANSWER,
+
+    /** A writer with a newer epoch has taken over; the call had no effect. */
+    FENCED,
+
+    /** The partition does not end where the caller expected; the call had no effect. */
+    CONFLICT,
+
+    /** The records asked for are no longer kept. */
+    TRIMMED
   }
 
   private final Type type;
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/WorkerRecordDecoder.java
@@ -0,0 +1,18 @@
+package org.hickorymoor.daemon.port;
+
+import org.hickorymoor.domain.workload.WorkerFacts;
+import org.jspecify.annotations.Nullable;
+
+/** Reads what a worker has stored about itself. */
+@FunctionalInterface
+public interface WorkerRecordDecoder {
+
+  /**
+   * Reads a record.
+   *
+   * @param workerId name of the worker
+   * @param value the record
+   * @return what the worker says, or null if the record names no worker to use
+   */
+  @Nullable WorkerFacts decode(String workerId, byte[] value);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Coordinator.java
@@ -0,0 +1,46 @@
+package org.hickorymoor.daemon.shard;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Who coordinates, as its heartbeats say.
+ *
+ * @param epoch rises with each takeover; also the fencing token of its orders
+ * @param hostId name of the host
+ * @param address ip:port where peers reach it
+ * @param nonce tells two claims of one epoch apart
+ * @param leaving whether it has given up coordinating
+ */
+record Coordinator(long epoch, String hostId, String address, String nonce, boolean leaving) {
+
+  private static final int FIELDS = 5;
+  private static final String LEAVING = "leaving";
+  private static final String ACTIVE = "active";
+
+  byte[] encode() {
+    String state = leaving ? LEAVING : ACTIVE;
+    return String.join("\n", List.of(Long.toString(epoch), hostId, address, nonce, state))
+        .getBytes(UTF_8);
+  }
+
+  /** Returns the record, or null for one that was written by something else. */
+  static @Nullable Coordinator decode(byte[] value) {
+    String[] fields = new String(value, UTF_8).split("\n", -1);
+    if (fields.length != FIELDS) {
+      return null;
+    }
+    try {
+      return new Coordinator(
+          Long.parseLong(fields[0]), fields[1], fields[2], fields[3], LEAVING.equals(fields[4]));
+    } catch (NumberFormatException e) {
+      return null;
+    }
+  }
+
+  Coordinator asLeaving() {
+    return new Coordinator(epoch, hostId, address, nonce, true);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
@@ -0,0 +1,93 @@
+package org.hickorymoor.daemon.shard;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
+import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
+import org.hickorymoor.daemon.port.LogPart;
+
+/** Lists the hosts of the cell through the store. */
+final class HostRegistry {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** New hosts are used after this time; they are rare. */
+  private static final long REFRESH_MS = 2_000;
+
+  private final ShardLoop loop;
+  private final KeyedLogPort log;
+  private final ShardSettings settings;
+  private volatile List<String> addresses;
+  private boolean registered;
+  private boolean stopped;
+
+  HostRegistry(ShardLoop loop, KeyedLogPort log, ShardSettings settings) {
+    this.loop = loop;
+    this.log = log;
+    this.settings = settings;
+    this.addresses = List.of(settings.peerAddress());
+  }
+
+  void start() {
+    loop.execute(this::register);
+  }
+
+  /** Takes this host off the list. */
+  void stop() {
+    stopped = true;
+    write(new byte[0]);
+  }
+
+  /** Returns where the hosts can be reached, this one included. */
+  List<String> addresses() {
+    return addresses;
+  }
+
+  private void register() {
+    if (stopped) {
+      return;
+    }
+    loop.then(
+        write(settings.peerAddress().getBytes(UTF_8)),
+        (offset, failure) -> {
+          registered = failure == null;
+          if (registered) {
+            logger.atInfo().log("hosts: Registered as %s.", settings.peerAddress());
+            refresh();
+          } else {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, this::register);
+          }
+        });
+  }
+
+  private CompletableFuture<Long> write(byte[] value) {
+    return log.append(
+        LogPart.HOSTS,
+        List.of(new Entry(settings.hostId(), value)),
+        null,
+        KeyedLogPort.ANY_OFFSET,
+        ShardSettings.STORE_TIMEOUT_MS);
+  }
+
+  private void refresh() {
+    if (stopped) {
+      return;
+    }
+    loop.then(
+        log.newest(LogPart.HOSTS, null, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          if (page != null) {
+            addresses = page.records().stream().map(HostRegistry::address).distinct().toList();
+          }
+          loop.schedule(REFRESH_MS, this::refresh);
+        });
+  }
+
+  private static String address(Stored stored) {
+    return new String(stored.value(), UTF_8);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
@@ -0,0 +1,357 @@
+package org.hickorymoor.daemon.shard;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.KeyedLogPort.Chunk;
+import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
+import org.hickorymoor.daemon.port.KeyedLogPort.Page;
+import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
+import org.hickorymoor.daemon.port.KeyedLogPort.Writer;
+import org.hickorymoor.daemon.port.LogPart;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which host coordinates.
+ *
+ * <p>The coordinator appends a heartbeat at a steady pace. The others wait for the next one; when
+ * none has come within the silence while the store did answer, they claim the next epoch with a
+ * conditional append, which only one of them can win. An outage of the store therefore never
+ * changes the coordinator. Belongs to the thread of the loop, but for {@link #current}.
+ */
+final class Ownership {
+
+  /** Told what becomes of this host. */
+  interface Listener {
+
+    /** This host coordinates from now on. */
+    void onElected(Coordinator self);
+
+    /** This host coordinates no more; called once for each {@link #onElected}. */
+    void onDeposed(String reason);
+  }
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String KEY = "coordinator";
+  private static final String WRITER = "coordinator";
+
+  /** Epochs of two claims at one time differ, so that the store can't take one for a repeat. */
+  private static final int EPOCH_STEP = 4_096;
+
+  /** Spreads the claims of hosts that notice the silence at the same moment. */
+  private static final long CLAIM_SPREAD_MS = 150;
+
+  private final ShardLoop loop;
+  private final KeyedLogPort log;
+  private final ShardSettings settings;
+  private final Listener listener;
+  private volatile @Nullable Coordinator current;
+  private @Nullable Coordinator self;
+  private long nextOffset;
+  private long sequence;
+  private boolean beating;
+  private long confirmedNs;
+  private boolean candidate = true;
+  private boolean stopped;
+  private boolean storeOut;
+
+  Ownership(ShardLoop loop, KeyedLogPort log, ShardSettings settings, Listener listener) {
+    this.loop = loop;
+    this.log = log;
+    this.settings = settings;
+    this.listener = listener;
+  }
+
+  /** Begins to follow the heartbeats. */
+  void start() {
+    loop.execute(this::load);
+  }
+
+  /** Returns the newest coordinator known, this host included, or null. */
+  @Nullable Coordinator current() {
+    return current;
+  }
+
+  /** Returns whether this host coordinates. */
+  boolean isSelf() {
+    return self != null;
+  }
+
+  /**
+   * Returns until when the coordinator may renew leases.
+   *
+   * @return as {@link System#nanoTime}
+   */
+  long authorityEndsNs() {
+    return confirmedNs + TimeUnit.MILLISECONDS.toNanos(ShardSettings.AUTHORITY_MS);
+  }
+
+  /** Hands over if this host coordinates, and claims no more. */
+  void leave() {
+    candidate = false;
+    Coordinator leaving = self;
+    if (leaving == null) {
+      return;
+    }
+    depose("this host stops");
+    var unused =
+        log.append(
+            LogPart.OWNERSHIP,
+            List.of(new Entry(KEY, leaving.asLeaving().encode())),
+            new Writer(WRITER, leaving.epoch(), sequence),
+            KeyedLogPort.ANY_OFFSET,
+            ShardSettings.STORE_TIMEOUT_MS);
+  }
+
+  /** Ends everything. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Gives up because a successor has been seen. */
+  void giveUp(String reason) {
+    if (self != null) {
+      depose(reason);
+      load();
+    }
+  }
+
+  private void load() {
+    if (stopped || self != null) {
+      return;
+    }
+    loop.then(log.newest(LogPart.OWNERSHIP, null, ShardSettings.STORE_TIMEOUT_MS), this::onLoaded);
+  }
+
+  private void onLoaded(@Nullable Page page, @Nullable PlatformException failure) {
+    if (page == null) {
+      storeFailed(failure);
+      loop.schedule(ShardSettings.STORE_RETRY_MS, this::load);
+      return;
+    }
+    storeAnswered();
+    nextOffset = page.endOffset();
+    page.records().forEach(this::hear);
+    if (current == null) {
+      claimSoon();
+    } else {
+      follow();
+    }
+  }
+
+  private void follow() {
+    if (stopped || self != null) {
+      return;
+    }
+    long waitMs = ShardSettings.SILENCE_MS;
+    loop.then(
+        log.read(LogPart.OWNERSHIP, nextOffset, waitMs, waitMs + ShardSettings.STORE_TIMEOUT_MS),
+        this::onFollowed);
+  }
+
+  private void onFollowed(@Nullable Chunk chunk, @Nullable PlatformException failure) {
+    if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
+      load();
+      return;
+    }
+    if (chunk == null) {
+      storeFailed(failure);
+      loop.schedule(ShardSettings.STORE_RETRY_MS, this::load);
+      return;
+    }
+    storeAnswered();
+    if (chunk.records().isEmpty()) {
+      claimSoon();
+      return;
+    }
+    for (Stored stored : chunk.records()) {
+      hear(stored);
+      nextOffset = stored.offset() + 1;
+    }
+    Coordinator heard = current;
+    if (heard != null && heard.leaving()) {
+      claimSoon();
+    } else {
+      follow();
+    }
+  }
+
+  private void hear(Stored stored) {
+    Coordinator heard = Coordinator.decode(stored.value());
+    if (heard == null) {
+      logger.atWarning().log("ownership: Unreadable record at offset %d.", stored.offset());
+      return;
+    }
+    Coordinator before = current;
+    if (before == null || heard.epoch() >= before.epoch()) {
+      if (before == null || heard.epoch() > before.epoch()) {
+        logger.atInfo().log(
+            "ownership: Host %s coordinates, epoch %d, offset %d.",
+            heard.hostId(), heard.epoch(), stored.offset());
+      }
+      current = heard;
+    }
+  }
+
+  private void claimSoon() {
+    if (!candidate) {
+      loop.schedule(ShardSettings.HEARTBEAT_MS, this::follow);
+      return;
+    }
+    loop.schedule(ThreadLocalRandom.current().nextLong(CLAIM_SPREAD_MS), this::claim);
+  }
+
+  private void claim() {
+    if (stopped || self != null || !candidate) {
+      return;
+    }
+    Coordinator before = current;
+    long epoch =
+        (before == null ? 0 : before.epoch()) + 1 + ThreadLocalRandom.current().nextInt(EPOCH_STEP);
+    Coordinator claim =
+        new Coordinator(
+            epoch, settings.hostId(), settings.peerAddress(), UUID.randomUUID().toString(), false);
+    long sentNs = System.nanoTime();
+    loop.then(
+        log.append(
+            LogPart.OWNERSHIP,
+            List.of(new Entry(KEY, claim.encode())),
+            new Writer(WRITER, epoch, 0),
+            nextOffset,
+            ShardSettings.STORE_TIMEOUT_MS),
+        (offset, failure) -> onClaimed(claim, sentNs, offset, failure));
+  }
+
+  private void onClaimed(
+      Coordinator claim, long sentNs, @Nullable Long offset, @Nullable PlatformException failure) {
+    if (stopped) {
+      return;
+    }
+    if (offset == null) {
+      logger.atInfo().log(
+          "ownership: Claim of epoch %d failed: %s",
+          claim.epoch(), failure == null ? "no offset" : failure.getMessage());
+      // A claim without an answer may have won; the record itself tells.
+      recheck(claim, sentNs);
+      return;
+    }
+    if (offset != nextOffset) {
+      load();
+      return;
+    }
+    win(claim, sentNs);
+  }
+
+  private void recheck(Coordinator claim, long sentNs) {
+    loop.then(
+        log.newest(LogPart.OWNERSHIP, null, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          if (page == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> recheck(claim, sentNs));
+            return;
+          }
+          Coordinator stored =
+              page.records().isEmpty() ? null : Coordinator.decode(page.records().get(0).value());
+          if (stored != null && stored.nonce().equals(claim.nonce())) {
+            win(claim, sentNs);
+          } else {
+            onLoaded(page, null);
+          }
+        });
+  }
+
+  private void win(Coordinator claim, long sentNs) {
+    if (!candidate) {
+      self = claim;
+      leave();
+      return;
+    }
+    logger.atInfo().log("ownership: This host coordinates, epoch %d.", claim.epoch());
+    self = claim;
+    current = claim;
+    sequence = 1;
+    confirmedNs = sentNs;
+    listener.onElected(claim);
+    scheduleBeat(claim);
+  }
+
+  private void scheduleBeat(Coordinator claim) {
+    if (!beating) {
+      beating = true;
+      loop.schedule(ShardSettings.HEARTBEAT_MS, () -> beat(claim));
+    }
+  }
+
+  private void beat(Coordinator claim) {
+    beating = false;
+    if (stopped || self != claim) {
+      return;
+    }
+    beating = true;
+    long sentNs = System.nanoTime();
+    loop.then(
+        log.append(
+            LogPart.OWNERSHIP,
+            List.of(new Entry(KEY, claim.encode())),
+            new Writer(WRITER, claim.epoch(), sequence),
+            KeyedLogPort.ANY_OFFSET,
+            ShardSettings.STORE_TIMEOUT_MS),
+        (offset, failure) -> onBeaten(claim, sentNs, failure));
+  }
+
+  private void onBeaten(Coordinator claim, long sentNs, @Nullable PlatformException failure) {
+    beating = false;
+    if (stopped || self != claim) {
+      return;
+    }
+    if (failure == null) {
+      storeAnswered();
+      sequence++;
+      confirmedNs = sentNs;
+      scheduleBeat(claim);
+      return;
+    }
+    if (failure.type() == PlatformException.Type.FENCED) {
+      depose("another host took over: " + failure.getMessage());
+      load();
+      return;
+    }
+    storeFailed(failure);
+    if (System.nanoTime() - authorityEndsNs() >= 0) {
+      depose("no heartbeat confirmed for " + ShardSettings.AUTHORITY_MS + " ms");
+      load();
+      return;
+    }
+    beating = true;
+    loop.schedule(ShardSettings.STORE_RETRY_MS, () -> beat(claim));
+  }
+
+  private void depose(String reason) {
+    Coordinator was = self;
+    self = null;
+    if (was != null) {
+      logger.atInfo().log("ownership: Epoch %d ends here: %s.", was.epoch(), reason);
+      listener.onDeposed(reason);
+    }
+  }
+
+  private void storeAnswered() {
+    if (storeOut) {
+      storeOut = false;
+      logger.atInfo().log("ownership: Store answers again.");
+    }
+  }
+
+  private void storeFailed(@Nullable PlatformException failure) {
+    if (!storeOut) {
+      storeOut = true;
+      logger.atWarning().log(
+          "ownership: Store does not answer: %s",
+          failure == null ? "no reason" : failure.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -0,0 +1,436 @@
+package org.hickorymoor.daemon.shard;
+
+import static java.util.concurrent.CompletableFuture.completedFuture;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.hickorymoor.daemon.peer.PeerClient;
+import org.hickorymoor.daemon.peer.PeerErrorType;
+import org.hickorymoor.daemon.peer.PeerHandler;
+import org.hickorymoor.daemon.peer.PeerReply;
+import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.daemon.port.AdvicePort;
+import org.hickorymoor.daemon.port.AdvicePort.Approval;
+import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.hickorymoor.daemon.port.TaskWorkerPort;
+import org.hickorymoor.daemon.port.WorkerRecordDecoder;
+import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes jobs from callers on every host and runs them while this host coordinates.
+ *
+ * <p>A job is accepted once its record is stored, whoever coordinates. Questions go to the
+ * coordinator. A host that the store turns away has a peer append for it. Safe for use by several
+ * threads.
+ */
+public final class Shard implements PeerHandler {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** A lost answer of the store is noticed within this time, so that callers wait less. */
+  private static final long APPEND_TIMEOUT_MS = 600;
+
+  /** Longest time to keep trying to store a caller's request. */
+  private static final long STORE_WITHIN_MS = 1_500;
+
+  private static final long RETRY_MS = 60;
+
+  /** Time for a question to the coordinator before it is asked again. */
+  private static final long ASK_TIMEOUT_MS = 700;
+
+  /** Jobs accepted here are known at once, also while the coordinator has not read them yet. */
+  private static final int REMEMBERED_JOBS = 4_096;
+
+  /** Ways in which the storing of a request ends. */
+  public enum Stored {
+    /** It is stored. */
+    YES,
+    /** It is not stored and never will be. */
+    NO,
+    /** It may be stored, or may yet be. */
+    UNKNOWN
+  }
+
+  /**
+   * An answer about a job.
+   *
+   * @param answered whether the coordinator answered in time
+   * @param state how far the job is; null if there is no such job
+   */
+  public record JobAnswer(boolean answered, @Nullable WorkloadState state) {}
+
+  private final ShardLoop loop = new ShardLoop();
+  private final ShardSettings settings;
+  private final KeyedLogPort log;
+  private final TaskWorkerPort workers;
+  private final AdvicePort advice;
+  private final WorkerRecordDecoder decoder;
+  private final PeerClient peers;
+  private final SubmissionLog submissions;
+  private final HostRegistry hosts;
+  private final Ownership ownership;
+  private final RecentJobs recent = new RecentJobs(REMEMBERED_JOBS);
+  private @Nullable ShardOwner owner;
+
+  /**
+   * Makes a shard that is not started.
+   *
+   * @param settings times and identity of this host
+   * @param log the platform's store
+   * @param workers gives orders to workers
+   * @param advice asks for approvals
+   * @param decoder reads the list of workers
+   * @param peers calls other hosts
+   */
+  public Shard(
+      ShardSettings settings,
+      KeyedLogPort log,
+      TaskWorkerPort workers,
+      AdvicePort advice,
+      WorkerRecordDecoder decoder,
+      PeerClient peers) {
+    this.settings = settings;
+    this.log = log;
+    this.workers = workers;
+    this.advice = advice;
+    this.decoder = decoder;
+    this.peers = peers;
+    this.submissions = new SubmissionLog(loop, log);
+    this.hosts = new HostRegistry(loop, log, settings);
+    this.ownership = new Ownership(loop, log, settings, new Roles());
+  }
+
+  /** Joins the cell. */
+  public void start() {
+    hosts.start();
+    ownership.start();
+  }
+
+  /** Hands the coordination over; requests are still taken. */
+  public void leave() {
+    loop.execute(
+        () -> {
+          ownership.leave();
+          hosts.stop();
+        });
+  }
+
+  /** Stops everything. */
+  public void stop() {
+    loop.execute(
+        () -> {
+          ownership.stop();
+          closeOwner();
+        });
+    loop.stop();
+  }
+
+  /**
+   * Stores a job.
+   *
+   * @param submission the job
+   * @param withinMs time that the caller waits
+   * @return whether it is stored
+   */
+  public CompletableFuture<Stored> submit(Submission submission, long withinMs) {
+    String key = SubmissionKeys.submitted(submission.jobId());
+    return store(key, WorkloadCodec.encode(submission), withinMs)
+        .thenApply(
+            stored -> {
+              if (stored == Stored.YES) {
+                recent.add(submission.jobId());
+              }
+              return stored;
+            });
+  }
+
+  /**
+   * Stores the cancellation of a job.
+   *
+   * @param jobId name of the job
+   * @param withinMs time that the caller waits
+   * @return whether it is stored
+   */
+  public CompletableFuture<Stored> cancel(String jobId, long withinMs) {
+    return store(SubmissionKeys.cancelled(jobId), new byte[] {1}, withinMs);
+  }
+
+  private CompletableFuture<Stored> store(String key, byte[] value, long withinMs) {
+    Attempt attempt = new Attempt(key, value, Math.min(withinMs, STORE_WITHIN_MS));
+    attempt.viaStore();
+    return attempt.result;
+  }
+
+  /** Tries to store one record, in turn here and through peers. */
+  private final class Attempt {
+    private final CompletableFuture<Stored> result = new CompletableFuture<>();
+    private final String key;
+    private final byte[] value;
+    private final long endNs;
+    private boolean uncertain;
+
+    Attempt(String key, byte[] value, long withinMs) {
+      this.key = key;
+      this.value = value;
+      this.endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+    }
+
+    private long leftMs() {
+      return TimeUnit.NANOSECONDS.toMillis(endNs - System.nanoTime());
+    }
+
+    private void viaStore() {
+      long timeoutMs = Math.max(1, Math.min(APPEND_TIMEOUT_MS, leftMs()));
+      loop.then(
+          submissions.append(key, value, timeoutMs),
+          (done, failure) -> {
+            if (failure == null) {
+              result.complete(Stored.YES);
+              return;
+            }
+            uncertain |= failure.mayHaveTakenEffect();
+            if (!finished()) {
+              viaPeer();
+            }
+          });
+    }
+
+    private void viaPeer() {
+      String peer = anyPeer();
+      if (peer == null) {
+        loop.schedule(RETRY_MS, this::viaStore);
+        return;
+      }
+      long timeoutMs = Math.max(1, Math.min(APPEND_TIMEOUT_MS, leftMs()));
+      var unused =
+          peers
+              .call(peer, new PeerRequest.RelaySubmission(key, value), timeoutMs)
+              .whenComplete((reply, failure) -> loop.execute(() -> onRelayed(reply)));
+    }
+
+    private void onRelayed(@Nullable PeerReply reply) {
+      if (reply instanceof PeerReply.Done) {
+        result.complete(Stored.YES);
+        return;
+      }
+      // Without an answer the peer may have stored it.
+      uncertain |= !(reply instanceof PeerReply.Refused refused && isClean(refused.type()));
+      if (!finished()) {
+        loop.schedule(RETRY_MS, this::viaStore);
+      }
+    }
+
+    private boolean finished() {
+      if (leftMs() > RETRY_MS) {
+        return false;
+      }
+      logger.atInfo().log(
+          "submissions: Record %s not stored in time, %s.",
+          key, uncertain ? "but may be later" : "and never will be");
+      result.complete(uncertain ? Stored.UNKNOWN : Stored.NO);
+      return true;
+    }
+  }
+
+  private static boolean isClean(PeerErrorType type) {
+    return type == PeerErrorType.OVERLOADED || type == PeerErrorType.STOPPING;
+  }
+
+  private @Nullable String anyPeer() {
+    List<String> others =
+        hosts.addresses().stream()
+            .filter(address -> !address.equals(settings.peerAddress()))
+            .toList();
+    return others.isEmpty() ? null : others.get(ThreadLocalRandom.current().nextInt(others.size()));
+  }
+
+  /**
+   * Asks how far a job is.
+   *
+   * @param jobId name of the job
+   * @param withinMs time that the caller waits
+   * @return the answer; never fails
+   */
+  public CompletableFuture<JobAnswer> state(String jobId, long withinMs) {
+    CompletableFuture<JobAnswer> result = new CompletableFuture<>();
+    long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+    ask(
+        new PeerRequest.GetWorkload(jobId),
+        endNs,
+        reply -> {
+          if (!(reply instanceof PeerReply.WorkloadReply known)) {
+            result.complete(new JobAnswer(false, null));
+            return;
+          }
+          WorkloadState state = known.state();
+          boolean justAccepted = state == null && recent.contains(jobId);
+          result.complete(new JobAnswer(true, justAccepted ? WorkloadState.QUEUED : state));
+        });
+    return result;
+  }
+
+  /**
+   * Asks how many jobs of a queue wait.
+   *
+   * @param queue name of the queue
+   * @param withinMs time that the caller waits
+   * @return the number, or -1 if the coordinator did not answer in time; never fails
+   */
+  public CompletableFuture<Integer> waiting(String queue, long withinMs) {
+    CompletableFuture<Integer> result = new CompletableFuture<>();
+    long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+    ask(
+        new PeerRequest.GetQueueDepth(queue),
+        endNs,
+        reply ->
+            result.complete(reply instanceof PeerReply.DepthReply depth ? depth.waiting() : -1));
+    return result;
+  }
+
+  /** Asks the coordinator again and again until it answers; null when time is up. */
+  private void ask(PeerRequest request, long endNs, Consumer<@Nullable PeerReply> handler) {
+    loop.execute(
+        () -> {
+          long leftMs = TimeUnit.NANOSECONDS.toMillis(endNs - System.nanoTime());
+          Coordinator coordinator = ownership.current();
+          if (leftMs <= 0) {
+            handler.accept(null);
+            return;
+          }
+          if (ownership.isSelf() || coordinator == null) {
+            PeerReply reply = answer(request);
+            if (reply instanceof PeerReply.Refused) {
+              loop.schedule(Math.min(RETRY_MS, leftMs), () -> ask(request, endNs, handler));
+            } else {
+              handler.accept(reply);
+            }
+            return;
+          }
+          var unused =
+              peers
+                  .call(coordinator.address(), request, Math.min(ASK_TIMEOUT_MS, leftMs))
+                  .whenComplete(
+                      (reply, failure) -> {
+                        if (reply == null || reply instanceof PeerReply.Refused) {
+                          loop.schedule(RETRY_MS, () -> ask(request, endNs, handler));
+                        } else {
+                          handler.accept(reply);
+                        }
+                      });
+        });
+  }
+
+  /** Answers a question from this host's own knowledge; belongs to the thread of the loop. */
+  private PeerReply answer(PeerRequest request) {
+    ShardOwner coordinating = owner;
+    if (coordinating == null || !coordinating.isReady()) {
+      return notCoordinator();
+    }
+    if (request instanceof PeerRequest.GetQueueDepth depth) {
+      return new PeerReply.DepthReply(coordinating.waiting(depth.queue()));
+    }
+    if (request instanceof PeerRequest.GetWorkload get) {
+      WorkloadState state = coordinating.state(get.jobId());
+      return state == null && !coordinating.isCurrent()
+          ? notCoordinator()
+          : new PeerReply.WorkloadReply(state);
+    }
+    return new PeerReply.Refused(
+        PeerErrorType.BAD_REQUEST, "expected a question about a job or a queue, got " + request);
+  }
+
+  private PeerReply notCoordinator() {
+    return new PeerReply.Refused(
+        PeerErrorType.NOT_COORDINATOR,
+        settings.hostId() + " does not coordinate; ask the host in the newest heartbeat");
+  }
+
+  @Override
+  public CompletableFuture<PeerReply> handle(PeerRequest request) {
+    if (request instanceof PeerRequest.RelaySubmission relay) {
+      return submissions
+          .append(relay.key(), relay.value(), APPEND_TIMEOUT_MS)
+          .handle((done, failure) -> relayed(ShardLoop.unwrap(failure)));
+    }
+    if (request instanceof PeerRequest.AskApproval ask) {
+      return advice
+          .advise(ask.step(), ask.workerIds(), ask.withinMs())
+          .handle(
+              (approvals, failure) ->
+                  failure == null
+                      ? new PeerReply.ApprovalReply(approvals)
+                      : new PeerReply.Refused(
+                          PeerErrorType.OVERLOADED, "no advice: " + failure.getMessage()));
+    }
+    CompletableFuture<PeerReply> result = new CompletableFuture<>();
+    loop.execute(() -> result.complete(answer(request)));
+    return result;
+  }
+
+  private static PeerReply relayed(@Nullable PlatformException failure) {
+    if (failure == null) {
+      return new PeerReply.Done();
+    }
+    PeerErrorType type =
+        failure.mayHaveTakenEffect() ? PeerErrorType.INTERNAL : PeerErrorType.OVERLOADED;
+    return new PeerReply.Refused(type, "the store did not take it: " + failure.getMessage());
+  }
+
+  private CompletableFuture<List<Approval>> askThrough(
+      String host, String step, List<String> workerIds, long withinMs) {
+    if (host.equals(settings.peerAddress())) {
+      return advice.advise(step, workerIds, withinMs);
+    }
+    return peers
+        .call(host, new PeerRequest.AskApproval(step, workerIds, withinMs), withinMs)
+        .thenCompose(
+            reply ->
+                reply instanceof PeerReply.ApprovalReply approvals
+                    ? completedFuture(approvals.approvals())
+                    : CompletableFuture.failedFuture(
+                        new PlatformException(
+                            PlatformException.Type.REFUSED, "no approvals from " + host)));
+  }
+
+  private void closeOwner() {
+    ShardOwner closing = owner;
+    owner = null;
+    if (closing != null) {
+      closing.close();
+    }
+  }
+
+  /** Begins and ends the coordination as the ownership changes. */
+  private final class Roles implements Ownership.Listener {
+
+    @Override
+    public void onElected(Coordinator self) {
+      closeOwner();
+      ShardOwner starting =
+          new ShardOwner(
+              loop,
+              log,
+              workers,
+              settings,
+              self.epoch(),
+              ownership::authorityEndsNs,
+              new WorkerCatalog(loop, log, decoder),
+              new AdviceDesk(loop, Shard.this::askThrough, hosts::addresses),
+              ownership::giveUp);
+      owner = starting;
+      starting.start();
+    }
+
+    @Override
+    public void onDeposed(String reason) {
+      closeOwner();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -0,0 +1,863 @@
+package org.hickorymoor.daemon.shard;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
+import org.hickorymoor.daemon.port.LogPart;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.hickorymoor.daemon.port.TaskWorkerPort;
+import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
+import org.hickorymoor.daemon.shard.WorkerSession.Placement;
+import org.hickorymoor.domain.workload.AdvicePolicy;
+import org.hickorymoor.domain.workload.EndKind;
+import org.hickorymoor.domain.workload.JobProgress;
+import org.hickorymoor.domain.workload.QueuePolicy;
+import org.hickorymoor.domain.workload.StepProgress;
+import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.TaskSlot;
+import org.hickorymoor.domain.workload.WorkerFacts;
+import org.hickorymoor.domain.workload.WorkerRoom;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs the jobs of the cell while this host coordinates.
+ *
+ * <p>A placement is stored before its order is sent, and an end before the worker may forget it. So
+ * whatever host takes over knows where each task may run and which have succeeded. Belongs to the
+ * thread of the loop.
+ */
+final class ShardOwner implements WorkerSession.Listener {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Name under which the ledger is written. */
+  private static final String WRITER = "coordinator";
+
+  /** Longest wait for new submissions in one read. */
+  private static final long INTAKE_WAIT_MS = 1_000;
+
+
+  /** Decisions are made at most this often, so that one pass serves many events. */
+  private static final long PASS_MS = 4;
+
+  /** Time-driven work is looked for at this pace. */
+  private static final long TICK_MS = 250;
+
+  /** A worker whose runs all failed is tried again after this time. */
+  private static final long SICK_PAUSE_MS = 5_000;
+
+  /** A task whose start was refused waits before it is placed again. */
+  private static final long PAUSE_AFTER_REFUSAL_MS = 100;
+
+  /** Most workers to ask approvals for in one call. */
+  private static final int MAX_ADVISED = 40;
+
+  /** Approvals are not used this close to their end, since the order takes time to arrive. */
+  private static final long TICKET_MARGIN_MS = 300;
+
+  /** Share of a worker that work of low priority leaves free for urgent work. */
+  private static final double URGENT_SHARE = 0.06;
+
+  /** Answers about unknown jobs need a look at the submissions that is no older than this. */
+  private static final long INTAKE_FRESH_MS = 1_500;
+
+  /** A job and what is known of it beyond its progress. */
+  private static final class Job {
+    private final JobProgress progress;
+    private WorkloadState storedState;
+    private long pausedUntilNs;
+
+    Job(JobProgress progress) {
+      this.progress = progress;
+      this.storedState = progress.state();
+    }
+
+    String id() {
+      return progress.submission().jobId();
+    }
+  }
+
+  /** Approvals for a step. */
+  private static final class Approvals {
+    private final Map<String, Ticket> tickets = new HashMap<>();
+    private final Set<String> asked = new HashSet<>();
+    private boolean inFlight;
+  }
+
+  private record Ticket(String text, long endsNs) {}
+
+  private final ShardLoop loop;
+  private final KeyedLogPort log;
+  private final TaskWorkerPort workerPort;
+  private final ShardSettings settings;
+  private final long epoch;
+  private final Supplier<Long> authorityEndsNs;
+  private final WorkerCatalog catalog;
+  private final AdviceDesk advice;
+  private final LedgerWriter ledger;
+  private final Consumer<String> onSuperseded;
+  private final long electedNs = System.nanoTime();
+  private final Map<String, Job> jobs = new HashMap<>();
+  private final Map<String, WorkloadState> ended = new HashMap<>();
+  private final Set<String> cancelled = new HashSet<>();
+  private final Set<Job> pending = new LinkedHashSet<>();
+  private final Map<String, WorkerSession> sessions = new HashMap<>();
+  private final Map<String, Approvals> approvals = new HashMap<>();
+  private final Map<String, Long> sickSinceNs = new HashMap<>();
+  private Map<String, byte[]> progressRecords = new HashMap<>();
+  private long intakeOffset;
+  private long intakeAtNs;
+  private boolean ready;
+  private boolean closed;
+  private boolean passScheduled;
+
+  ShardOwner(
+      ShardLoop loop,
+      KeyedLogPort log,
+      TaskWorkerPort workerPort,
+      ShardSettings settings,
+      long epoch,
+      Supplier<Long> authorityEndsNs,
+      WorkerCatalog catalog,
+      AdviceDesk advice,
+      Consumer<String> onSuperseded) {
+    this.loop = loop;
+    this.log = log;
+    this.workerPort = workerPort;
+    this.settings = settings;
+    this.epoch = epoch;
+    this.authorityEndsNs = authorityEndsNs;
+    this.catalog = catalog;
+    this.advice = advice;
+    this.onSuperseded = onSuperseded;
+    this.ledger =
+        new LedgerWriter(
+            loop, log, WRITER, epoch, () -> onSuperseded.accept("the ledger has a newer epoch"));
+  }
+
+  /** Takes over from whoever coordinated before. */
+  void start() {
+    ledger.open(() -> loadProgress(null));
+    loop.schedule(TICK_MS, this::tick);
+  }
+
+  /** Stops at once: gives no orders, renews no leases, stores nothing. */
+  void close() {
+    closed = true;
+    ledger.close();
+    advice.close();
+    catalog.close();
+    sessions.values().forEach(WorkerSession::close);
+    sessions.clear();
+  }
+
+  // Loading
+
+  private void loadProgress(@Nullable String after) {
+    if (closed) {
+      return;
+    }
+    loop.then(
+        log.newest(LogPart.LEDGER, after, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          if (page == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> loadProgress(after));
+            return;
+          }
+          page.records().forEach(stored -> progressRecords.put(stored.key(), stored.value()));
+          if (page.hasMore()) {
+            loadProgress(page.records().get(page.records().size() - 1).key());
+          } else {
+            loadSubmissions(null);
+          }
+        });
+  }
+
+  private void loadSubmissions(@Nullable String after) {
+    if (closed) {
+      return;
+    }
+    loop.then(
+        log.newest(LogPart.SUBMISSIONS, after, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          if (page == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> loadSubmissions(after));
+            return;
+          }
+          if (after == null) {
+            intakeOffset = page.endOffset();
+          }
+          page.records().forEach(this::takeIn);
+          if (page.hasMore()) {
+            loadSubmissions(page.records().get(page.records().size() - 1).key());
+          } else {
+            beginWork();
+          }
+        });
+  }
+
+  private void beginWork() {
+    progressRecords.forEach(this::rememberEnded);
+    progressRecords = Map.of();
+    ready = true;
+    intakeAtNs = System.nanoTime();
+    logger.atInfo().log(
+        "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - electedNs),
+        epoch,
+        jobs.size(),
+        ended.size());
+    followIntake();
+    catalog.start(this::onWorkers);
+    passSoon();
+  }
+
+  /** Remembers jobs whose submission is no longer kept. */
+  private void rememberEnded(String jobId, byte[] record) {
+    if (jobs.containsKey(jobId) || ended.containsKey(jobId)) {
+      return;
+    }
+    try {
+      WorkloadState state = WorkloadCodec.decodeState(record);
+      if (state.isFinal()) {
+        ended.put(jobId, state);
+      }
+    } catch (MalformedRecordException e) {
+      logger.atFine().log("shard: Record %s is not the progress of a job.", jobId);
+    }
+  }
+
+  private void followIntake() {
+    if (closed) {
+      return;
+    }
+    loop.then(
+        log.read(
+            LogPart.SUBMISSIONS,
+            intakeOffset,
+            INTAKE_WAIT_MS,
+            INTAKE_WAIT_MS + ShardSettings.STORE_TIMEOUT_MS),
+        (chunk, failure) -> {
+          if (closed) {
+            return;
+          }
+          if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
+            reloadIntake(null);
+            return;
+          }
+          if (chunk == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, this::followIntake);
+            return;
+          }
+          intakeAtNs = System.nanoTime();
+          for (Stored stored : chunk.records()) {
+            takeIn(stored);
+            intakeOffset = stored.offset() + 1;
+          }
+          followIntake();
+        });
+  }
+
+  private void reloadIntake(@Nullable String after) {
+    loop.then(
+        log.newest(LogPart.SUBMISSIONS, after, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          if (closed) {
+            return;
+          }
+          if (page == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> reloadIntake(after));
+            return;
+          }
+          if (after == null) {
+            intakeOffset = page.endOffset();
+          }
+          page.records().forEach(this::takeIn);
+          if (page.hasMore()) {
+            reloadIntake(page.records().get(page.records().size() - 1).key());
+          } else {
+            followIntake();
+          }
+        });
+  }
+
+  private void takeIn(Stored stored) {
+    if (stored.value().length == 0) {
+      return;
+    }
+    String cancelledId = SubmissionKeys.cancelledJob(stored.key());
+    if (cancelledId != null) {
+      cancel(cancelledId);
+      return;
+    }
+    String jobId = SubmissionKeys.submittedJob(stored.key());
+    if (jobId == null || jobs.containsKey(jobId) || ended.containsKey(jobId)) {
+      return;
+    }
+    try {
+      accept(jobId, stored);
+    } catch (MalformedRecordException e) {
+      logger.atWarning().withCause(e).log(
+          "shard: Submission %s at offset %d can't be read.", jobId, stored.offset());
+    }
+  }
+
+  private void accept(String jobId, Stored stored) throws MalformedRecordException {
+    Submission submission = WorkloadCodec.decodeSubmission(stored.value());
+    JobProgress progress = new JobProgress(submission);
+    byte[] record = progressRecords.get(jobId);
+    if (record != null) {
+      WorkloadCodec.restore(progress, record);
+    }
+    if (progress.state().isFinal() && progress.placed().isEmpty()) {
+      ended.put(jobId, progress.state());
+      return;
+    }
+    Job job = new Job(progress);
+    jobs.put(jobId, job);
+    progress.beginDue(System.currentTimeMillis());
+    if (ready) {
+      logger.atInfo().log(
+          "job: %s taken on, queue %s, %d steps, offset %d.",
+          jobId, submission.policy().queue(), submission.spec().steps().size(), stored.offset());
+    }
+    if (cancelled.contains(jobId)) {
+      cancel(jobId);
+    }
+    pending.add(job);
+    passSoon();
+  }
+
+  private void cancel(String jobId) {
+    cancelled.add(jobId);
+    Job job = jobs.get(jobId);
+    if (job == null || job.progress.state().isFinal()) {
+      return;
+    }
+    job.progress.cancel();
+    logger.atInfo().log("job: %s cancelled, %d runs to stop.", jobId, job.progress.placed().size());
+    stopAll(job);
+    changed(job);
+  }
+
+  private void stopAll(Job job) {
+    for (TaskSlot slot : job.progress.placed()) {
+      WorkerSession session = sessions.get(String.valueOf(slot.workerId()));
+      if (session != null) {
+        session.stop(slot);
+      }
+    }
+  }
+
+  // Workers
+
+  private void onWorkers(Map<String, WorkerFacts> listed) {
+    if (closed) {
+      return;
+    }
+    long firstLeaseEndsNs =
+        electedNs
+            + TimeUnit.MILLISECONDS.toNanos(
+                Math.round(ShardSettings.AUTHORITY_MS * ShardSettings.CLOCK_DRIFT)
+                    + ShardSettings.LEASE_SLACK_MS);
+    List<String> fresh = new ArrayList<>();
+    listed.forEach(
+        (id, facts) -> {
+          WorkerSession session = sessions.get(id);
+          if (session == null) {
+            session =
+                new WorkerSession(
+                    loop, workerPort, this, facts, epoch, settings.leaseMs(), firstLeaseEndsNs);
+            sessions.put(id, session);
+            fresh.add(id);
+          }
+        });
+    if (!fresh.isEmpty()) {
+      adoptPlacements(new HashSet<>(fresh));
+    }
+    listed.forEach((id, facts) -> sessionOf(id).update(facts));
+    for (Map.Entry<String, WorkerSession> entry : sessions.entrySet()) {
+      if (!listed.containsKey(entry.getKey())) {
+        entry.getValue().update(null);
+      }
+    }
+    sessions.values().removeIf(WorkerSession::isForgettable);
+    passSoon();
+  }
+
+  private WorkerSession sessionOf(String id) {
+    WorkerSession session = sessions.get(id);
+    if (session == null) {
+      throw new IllegalStateException("no session of worker " + id);
+    }
+    return session;
+  }
+
+  private void adoptPlacements(Set<String> fresh) {
+    for (Job job : jobs.values()) {
+      for (TaskSlot slot : job.progress.placed()) {
+        String worker = slot.workerId();
+        if (worker != null && fresh.contains(worker)) {
+          WorkerSession session = sessionOf(worker);
+          session.adopt(slot);
+          if (job.progress.state().isFinal()) {
+            session.stop(slot);
+          }
+        }
+      }
+    }
+  }
+
+  /** Frees tasks placed on workers that are not listed any more, once their lease has ended. */
+  private void freeOrphans() {
+    long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - electedNs);
+    if (waitedMs
+        < ShardSettings.AUTHORITY_MS * ShardSettings.CLOCK_DRIFT + ShardSettings.LEASE_SLACK_MS) {
+      return;
+    }
+    for (Job job : jobs.values()) {
+      for (TaskSlot slot : job.progress.placed()) {
+        if (!sessions.containsKey(String.valueOf(slot.workerId()))) {
+          job.progress.end(slot, EndKind.LAPSED, "");
+          changed(job);
+        }
+      }
+    }
+  }
+
+  @Override
+  public void onFenced(String workerId) {
+    if (!closed) {
+      onSuperseded.accept("worker " + workerId + " follows a newer coordinator");
+    }
+  }
+
+  @Override
+  public void onStarted(Placement placement) {
+    Job job = jobs.get(placement.slot().id().jobId());
+    if (job != null && job.progress.state() == WorkloadState.QUEUED) {
+      job.progress.markRunning();
+      logger.atInfo().log(
+          "job: %s runs, first on %s, %d ms after it was accepted.",
+          job.id(),
+          placement.room().facts().id(),
+          System.currentTimeMillis() - job.progress.submission().acceptedAtMs());
+      changed(job);
+    }
+  }
+
+  @Override
+  public void onNotStarted(Placement placement, Outcome outcome) {
+    TaskSlot slot = placement.slot();
+    logger.atInfo().log(
+        "task: %s run %d not started on %s: %s.",
+        slot.id(), placement.run(), placement.room().facts().id(), outcome);
+    if (outcome == Outcome.BAD_TICKET) {
+      Approvals known = approvals.get(slot.id().stepName());
+      if (known != null) {
+        // An approval that has ended is asked for again; one that was denied is not.
+        known.tickets.computeIfPresent(
+            placement.room().facts().id(),
+            (worker, ticket) -> new Ticket(ticket.text(), System.nanoTime()));
+      }
+    }
+    Job job = jobs.get(slot.id().jobId());
+    if (job != null && slot.run() == placement.run()) {
+      endRun(job, placement, EndKind.STOPPED, "");
+      job.pausedUntilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_REFUSAL_MS);
+    }
+  }
+
+  @Override
+  public void onEnded(Placement placement, EndKind how, String checkpoint) {
+    TaskSlot slot = placement.slot();
+    WorkerRoom room = placement.room();
+    if (how == EndKind.FAILED) {
+      room.learnFailure();
+      if (room.isSick()) {
+        sickSinceNs.putIfAbsent(room.facts().id(), System.nanoTime());
+        logger.atInfo().log("worker: %s fails what it starts, paused.", room.facts().id());
+      }
+    } else if (how == EndKind.DONE && placement.startedNs() != 0 && !slot.spec().gang()) {
+      long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - placement.startedNs());
+      room.learnSuccess(tookMs, slot.spec().estimatedMs());
+    }
+    Job job = jobs.get(slot.id().jobId());
+    if (job != null && slot.run() == placement.run()) {
+      endRun(job, placement, how, checkpoint);
+    }
+  }
+
+  @Override
+  public void onGone(Placement placement, String reason) {
+    TaskSlot slot = placement.slot();
+    Job job = jobs.get(slot.id().jobId());
+    if (job != null && slot.run() == placement.run()) {
+      logger.atInfo().log(
+          "task: %s run %d on %s is gone: %s.",
+          slot.id(), placement.run(), placement.room().facts().id(), reason);
+      endRun(job, placement, EndKind.LAPSED, "");
+    }
+  }
+
+  private void endRun(Job job, Placement placement, EndKind how, String checkpoint) {
+    WorkloadState before = job.progress.state();
+    job.progress.end(placement.slot(), how, checkpoint);
+    WorkloadState after = job.progress.state();
+    if (before != after) {
+      logger.atInfo().log(
+          "job: %s %s, %d ms after it was accepted, last run %s %s.",
+          job.id(),
+          after,
+          System.currentTimeMillis() - job.progress.submission().acceptedAtMs(),
+          placement.slot().id(),
+          how);
+      if (after == WorkloadState.FAILED) {
+        stopAll(job);
+      }
+    }
+    changed(job);
+    if (!after.isFinal()) {
+      pending.add(job);
+    }
+    passSoon();
+  }
+
+  private void changed(Job job) {
+    ledger.touch(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
+    WorkloadState state = job.progress.state();
+    if (state != job.storedState) {
+      ledger.afterStored(() -> stored(job, state));
+    } else if (state.isFinal() && job.progress.placed().isEmpty()) {
+      ledger.afterStored(() -> stored(job, state));
+    }
+  }
+
+  private void stored(Job job, WorkloadState state) {
+    job.storedState = state;
+    if (state.isFinal() && job.progress.placed().isEmpty()) {
+      jobs.remove(job.id());
+      pending.remove(job);
+      ended.put(job.id(), state);
+      String prefix = job.id() + ".";
+      approvals.keySet().removeIf(step -> step.startsWith(prefix));
+    }
+  }
+
+  @Override
+  public void afterStored(Runnable task) {
+    ledger.afterStored(task);
+  }
+
+  @Override
+  public void onUsable() {
+    passSoon();
+  }
+
+  @Override
+  public long authorityEndsNs() {
+    return authorityEndsNs.get();
+  }
+
+  // Questions
+
+  /** Returns whether questions can be answered. */
+  boolean isReady() {
+    return ready && !closed;
+  }
+
+  /** Returns whether the submissions were looked at so recently that a job not seen is unknown. */
+  boolean isCurrent() {
+    return isReady()
+        && System.nanoTime() - intakeAtNs
+            < TimeUnit.MILLISECONDS.toNanos(INTAKE_FRESH_MS)
+                + TimeUnit.MILLISECONDS.toNanos(INTAKE_WAIT_MS);
+  }
+
+  /** Returns how far a job is, as far as that is stored; null for a job that is not known. */
+  @Nullable WorkloadState state(String jobId) {
+    Job job = jobs.get(jobId);
+    return job == null ? ended.get(jobId) : job.storedState;
+  }
+
+  /** Returns the number of jobs of a queue of which no task has started. */
+  int waiting(String queue) {
+    int waiting = 0;
+    for (Job job : jobs.values()) {
+      if (job.progress.state() == WorkloadState.QUEUED
+          && job.progress.submission().policy().queue().equals(queue)) {
+        waiting++;
+      }
+    }
+    return waiting;
+  }
+
+  // Decisions
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    long nowMs = System.currentTimeMillis();
+    for (Job job : jobs.values()) {
+      if (job.progress.submission().spec().repetitions() > 0) {
+        job.progress.beginDue(nowMs);
+        pending.add(job);
+      }
+    }
+    long nowNs = System.nanoTime();
+    sickSinceNs
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean over =
+                  nowNs - entry.getValue() > TimeUnit.MILLISECONDS.toNanos(SICK_PAUSE_MS);
+              WorkerSession session = sessions.get(entry.getKey());
+              if (over && session != null) {
+                session.room().forgetFailures();
+              }
+              return over;
+            });
+    if (ready) {
+      freeOrphans();
+      passSoon();
+    }
+    loop.schedule(TICK_MS, this::tick);
+  }
+
+  private void passSoon() {
+    if (!passScheduled && ready && !closed) {
+      passScheduled = true;
+      loop.schedule(PASS_MS, this::pass);
+    }
+  }
+
+  private void pass() {
+    passScheduled = false;
+    if (closed) {
+      return;
+    }
+    long nowNs = System.nanoTime();
+    List<StepProgress> steps = new ArrayList<>();
+    Map<StepProgress, Job> owners = new HashMap<>();
+    for (Job job : List.copyOf(pending)) {
+      List<StepProgress> readySteps = job.progress.readySteps();
+      if (readySteps.isEmpty()) {
+        pending.remove(job);
+        continue;
+      }
+      if (nowNs - job.pausedUntilNs < 0) {
+        continue;
+      }
+      for (StepProgress step : readySteps) {
+        steps.add(step);
+        owners.put(step, job);
+      }
+    }
+    steps.sort(
+        Comparator.<StepProgress>comparingInt(step -> policyOf(owners, step).priority())
+            .thenComparingLong(step -> jobOf(owners, step).progress.submission().dueMs()));
+    for (StepProgress step : steps) {
+      placeStep(jobOf(owners, step), step);
+    }
+  }
+
+  private static Job jobOf(Map<StepProgress, Job> owners, StepProgress step) {
+    Job job = owners.get(step);
+    if (job == null) {
+      throw new IllegalStateException("no job of step " + step.name());
+    }
+    return job;
+  }
+
+  private static QueuePolicy policyOf(Map<StepProgress, Job> owners, StepProgress step) {
+    return jobOf(owners, step).progress.submission().policy();
+  }
+
+  private void placeStep(Job job, StepProgress step) {
+    QueuePolicy policy = job.progress.submission().policy();
+    Approvals known = null;
+    if (policy.advice() != null) {
+      known = approvals.computeIfAbsent(step.name(), name -> new Approvals());
+    }
+    List<WorkerSession> usable = new ArrayList<>();
+    for (WorkerSession session : sessions.values()) {
+      if (session.isUsable() && session.room().facts().service().equals(policy.service())) {
+        usable.add(session);
+      }
+    }
+    boolean whole =
+        step.spec().gang()
+            ? placeGang(job, step, usable, known)
+            : placeEach(job, step, usable, known);
+    AdvicePolicy advicePolicy = policy.advice();
+    if (!whole && advicePolicy != null && known != null) {
+      askApprovals(job, step, usable, known, advicePolicy);
+    }
+  }
+
+  private boolean placeEach(
+      Job job, StepProgress step, List<WorkerSession> usable, @Nullable Approvals known) {
+    for (TaskSlot slot : step.slots()) {
+      if (slot.phase() != TaskSlot.Phase.IDLE) {
+        continue;
+      }
+      WorkerSession best = choose(job, slot, usable, known, null);
+      if (best == null) {
+        return false;
+      }
+      place(job, slot, best, known, slot.run() + 1);
+    }
+    return true;
+  }
+
+  private boolean placeGang(
+      Job job, StepProgress step, List<WorkerSession> usable, @Nullable Approvals known) {
+    int run = step.highestRun() + 1;
+    // Reserves as it goes, so that members don't count the same room twice; undone if one fails.
+    List<WorkerSession> chosen = new ArrayList<>();
+    String rack = null;
+    for (TaskSlot slot : step.slots()) {
+      WorkerSession best = choose(job, slot, usable, known, step.spec().sameRack() ? rack : null);
+      if (best == null) {
+        for (int i = 0; i < chosen.size(); i++) {
+          chosen.get(i).room().release(step.slots().get(i).id(), run);
+        }
+        return false;
+      }
+      best.room().reserve(slot.id(), run, slot.spec());
+      rack = best.room().facts().rack();
+      chosen.add(best);
+    }
+    for (int i = 0; i < chosen.size(); i++) {
+      place(job, step.slots().get(i), chosen.get(i), known, run);
+    }
+    return true;
+  }
+
+  private @Nullable WorkerSession choose(
+      Job job,
+      TaskSlot slot,
+      List<WorkerSession> usable,
+      @Nullable Approvals known,
+      @Nullable String gangRack) {
+    long nowNs = System.nanoTime();
+    int priority = job.progress.submission().policy().priority();
+    WorkerSession best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (WorkerSession session : usable) {
+      WorkerRoom room = session.room();
+      int keepFree = priority == 0 ? 0 : (int) Math.round(room.facts().cpuMillis() * URGENT_SHARE);
+      if (known != null) {
+        Ticket ticket = known.tickets.get(room.facts().id());
+        if (ticket == null || nowNs - ticket.endsNs() >= 0) {
+          continue;
+        }
+      }
+      if (!room.fits(slot, keepFree)) {
+        continue;
+      }
+      double cost = room.cost(slot, gangRack);
+      if (cost < bestCost) {
+        best = session;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  private void place(
+      Job job, TaskSlot slot, WorkerSession session, @Nullable Approvals known, int run) {
+    String worker = session.room().facts().id();
+    slot.place(worker, run);
+    Placement placement = session.add(slot);
+    Ticket ticket = known == null ? null : known.tickets.get(worker);
+    ledger.touch(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
+    ledger.afterStored(() -> send(job, session, placement, ticket));
+  }
+
+  private void send(Job job, WorkerSession session, Placement placement, @Nullable Ticket ticket) {
+    if (closed || placement.isStopping() || job.progress.state().isFinal()) {
+      session.withdraw(placement);
+      if (!closed) {
+        endRun(job, placement, EndKind.STOPPED, "");
+      }
+      return;
+    }
+    String payload = job.progress.submission().spec().payload();
+    session.start(placement, payload, ticket == null ? null : ticket.text());
+  }
+
+  private void askApprovals(
+      Job job,
+      StepProgress step,
+      List<WorkerSession> usable,
+      Approvals known,
+      AdvicePolicy policy) {
+    if (known.inFlight) {
+      return;
+    }
+    TaskSlot sample =
+        step.slots().stream()
+            .filter(slot -> slot.phase() == TaskSlot.Phase.IDLE)
+            .findFirst()
+            .orElse(step.slots().get(0));
+    long nowNs = System.nanoTime();
+    List<WorkerSession> wanted = new ArrayList<>();
+    for (WorkerSession session : usable) {
+      String id = session.room().facts().id();
+      Ticket ticket = known.tickets.get(id);
+      boolean denied = known.asked.contains(id) && ticket == null;
+      boolean expired = ticket != null && nowNs - ticket.endsNs() >= 0;
+      boolean unasked = !known.asked.contains(id);
+      if (!denied && (unasked || expired) && session.room().fits(sample, 0)) {
+        wanted.add(session);
+      }
+    }
+    if (wanted.isEmpty()) {
+      return;
+    }
+    wanted.sort(
+        Comparator.comparingInt((WorkerSession session) -> -session.room().freeCpuMillis())
+            .thenComparing(session -> session.room().facts().id()));
+    List<String> ids =
+        wanted.stream().limit(MAX_ADVISED).map(session -> session.room().facts().id()).toList();
+    known.inFlight = true;
+    Submission submission = job.progress.submission();
+    advice.submit(
+        new AdviceDesk.Ask(
+            step.name(),
+            ids,
+            submission.policy().priority(),
+            submission.dueMs(),
+            Math.round(policy.decisionMs() + policy.perWorkerMs() * ids.size()),
+            (approved, sentNs) -> {
+              known.inFlight = false;
+              if (approved != null) {
+                known.asked.addAll(ids);
+                long endsNs =
+                    System.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(
+                            Math.round(policy.validityMs()) - TICKET_MARGIN_MS);
+                approved.forEach(
+                    approval ->
+                        known.tickets.put(
+                            approval.workerId(), new Ticket(approval.ticket(), endsNs)));
+              }
+              pending.add(job);
+              passSoon();
+            }));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
@@ -0,0 +1,127 @@
+package org.hickorymoor.daemon.shard;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
+import org.hickorymoor.daemon.port.LogPart;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.hickorymoor.daemon.port.WorkerRecordDecoder;
+import org.hickorymoor.domain.workload.WorkerFacts;
+import org.jspecify.annotations.Nullable;
+
+/** Follows the list of workers in the store. Belongs to the thread of the loop. */
+final class WorkerCatalog {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Well below the time within which a leaving worker must get no more work. */
+  private static final long POLL_MS = 500;
+
+  private final ShardLoop loop;
+  private final KeyedLogPort log;
+  private final WorkerRecordDecoder decoder;
+  private final Map<String, WorkerFacts> listed = new HashMap<>();
+  private Consumer<Map<String, WorkerFacts>> listener = workers -> {};
+  private Map<String, WorkerFacts> loading = new HashMap<>();
+  private long nextOffset;
+  private boolean closed;
+  private boolean out;
+
+  WorkerCatalog(ShardLoop loop, KeyedLogPort log, WorkerRecordDecoder decoder) {
+    this.loop = loop;
+    this.log = log;
+    this.decoder = decoder;
+  }
+
+  /** Reads the list and tells the listener of every change. */
+  void start(Consumer<Map<String, WorkerFacts>> changes) {
+    listener = changes;
+    load(null);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  private void load(@Nullable String after) {
+    if (closed) {
+      return;
+    }
+    loop.then(
+        log.newest(LogPart.WORKERS, after, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          report(failure);
+          if (page == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> load(after));
+            return;
+          }
+          if (after == null) {
+            loading = new HashMap<>();
+            nextOffset = page.endOffset();
+          }
+          page.records().forEach(stored -> apply(loading, stored));
+          if (page.hasMore()) {
+            load(page.records().get(page.records().size() - 1).key());
+            return;
+          }
+          listed.clear();
+          listed.putAll(loading);
+          listener.accept(Map.copyOf(listed));
+          loop.schedule(POLL_MS, this::poll);
+        });
+  }
+
+  private void poll() {
+    if (closed) {
+      return;
+    }
+    loop.then(
+        log.read(LogPart.WORKERS, nextOffset, 0, ShardSettings.STORE_TIMEOUT_MS),
+        (chunk, failure) -> {
+          if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
+            load(null);
+            return;
+          }
+          report(failure);
+          if (chunk != null) {
+            for (Stored stored : chunk.records()) {
+              apply(listed, stored);
+              nextOffset = stored.offset() + 1;
+            }
+            if (!chunk.records().isEmpty() && !closed) {
+              listener.accept(Map.copyOf(listed));
+            }
+          }
+          loop.schedule(POLL_MS, this::poll);
+        });
+  }
+
+  private void apply(Map<String, WorkerFacts> into, Stored stored) {
+    WorkerFacts facts =
+        stored.value().length == 0 ? null : decoder.decode(stored.key(), stored.value());
+    WorkerFacts before = facts == null ? into.remove(stored.key()) : into.put(stored.key(), facts);
+    if (facts == null && before != null) {
+      logger.atInfo().log("workers: %s is off the list, offset %d.", stored.key(), stored.offset());
+    } else if (facts != null && (before == null || before.draining() != facts.draining())) {
+      logger.atInfo().log(
+          "workers: %s of %s at %s%s, offset %d.",
+          facts.id(),
+          facts.service(),
+          facts.address(),
+          facts.draining() ? " is leaving" : "",
+          stored.offset());
+    }
+  }
+
+  private void report(@Nullable PlatformException failure) {
+    if (out != (failure != null)) {
+      out = failure != null;
+      logger.atInfo().log(
+          "workers: Store %s.",
+          failure == null ? "answers again" : "does not answer: " + failure.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -0,0 +1,601 @@
+package org.hickorymoor.daemon.shard;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.hickorymoor.daemon.port.TaskWorkerPort;
+import org.hickorymoor.daemon.port.TaskWorkerPort.Ended;
+import org.hickorymoor.daemon.port.TaskWorkerPort.OrderReply;
+import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
+import org.hickorymoor.daemon.port.TaskWorkerPort.Report;
+import org.hickorymoor.daemon.port.TaskWorkerPort.Running;
+import org.hickorymoor.daemon.port.TaskWorkerPort.StartOrder;
+import org.hickorymoor.domain.workload.EndKind;
+import org.hickorymoor.domain.workload.TaskSlot;
+import org.hickorymoor.domain.workload.WorkerFacts;
+import org.hickorymoor.domain.workload.WorkerRoom;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Renews the leases on one worker, watches what runs there and gives it orders.
+ *
+ * <p>A run is taken for gone only when the worker says so in a report that was asked for after its
+ * order was settled, when the worker has begun a new life, or when its lease must have ended.
+ * Belongs to the thread of the loop.
+ */
+final class WorkerSession {
+
+  /** Told what happens on the worker. */
+  interface Listener {
+
+    /** A worker follows a coordinator with a higher token. */
+    void onFenced(String workerId);
+
+    /** The worker has accepted a run, or is seen to run it. */
+    void onStarted(Placement placement);
+
+    /** A run certainly did not start. */
+    void onNotStarted(Placement placement, Outcome outcome);
+
+    /** A run has ended; the worker keeps the end until {@link #afterStored} has run. */
+    void onEnded(Placement placement, EndKind how, String checkpoint);
+
+    /** A run is gone without a known end. */
+    void onGone(Placement placement, String reason);
+
+    /** Runs a task once what was reported so far is stored. */
+    void afterStored(Runnable task);
+
+    /** The worker can take work again. */
+    void onUsable();
+
+    /** Returns until when leases may be renewed, as {@link System#nanoTime}. */
+    long authorityEndsNs();
+  }
+
+  /** A run that is, or may be, on the worker. */
+  static final class Placement {
+    private final TaskSlot slot;
+    private final int run;
+    private final WorkerRoom room;
+    private long settledNs = Long.MAX_VALUE;
+    private boolean settled;
+    private boolean uncertain;
+    private boolean stopping;
+    private boolean stopSettled;
+    private long stopSentNs;
+    private long uncertainSinceNs;
+    private long startedNs;
+    private int wantedPercent = FULL_SPEED;
+    private int askedPercent = FULL_SPEED;
+
+    Placement(TaskSlot slot, int run, WorkerRoom room) {
+      this.slot = slot;
+      this.run = run;
+      this.room = room;
+    }
+
+    TaskSlot slot() {
+      return slot;
+    }
+
+    int run() {
+      return run;
+    }
+
+    WorkerRoom room() {
+      return room;
+    }
+
+    /** Returns when the worker accepted the run; 0 if that isn't known. */
+    long startedNs() {
+      return startedNs;
+    }
+
+    boolean isStopping() {
+      return stopping;
+    }
+  }
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int FULL_SPEED = 100;
+
+  /** A report is held back this long, so that quiet workers cost one call a second. */
+  private static final long REPORT_WAIT_MS = 1_000;
+
+  /** Two slow links, and a worker that is busy. */
+  private static final long ORDER_TIMEOUT_MS = 700;
+
+  /** Wait after a failed call, times the number of failures up to a limit. */
+  private static final long RETRY_MS = 150;
+
+  private static final int MAX_RETRY_FACTOR = 5;
+
+  /** A stop takes effect within 200 ms where the worker is well, then it is sent again. */
+  private static final long STOP_AGAIN_MS = 600;
+
+  /** Reports are asked for at this pace while ends can't be stored. */
+  private static final long RENEW_MS = 1_000;
+
+  /** Share of a target above which work beside it is slowed down. */
+  private static final double SLOW_DOWN_ABOVE = 0.85;
+
+  /** Share of a target below which work beside it is sped up again. */
+  private static final double SPEED_UP_BELOW = 0.6;
+
+  private static final int SPEED_STEP = 20;
+
+  private final ShardLoop loop;
+  private final TaskWorkerPort port;
+  private final Listener listener;
+  private final long fence;
+  private final long leaseMs;
+  private final WorkerRoom room;
+  private final Map<String, Placement> placements = new HashMap<>();
+  private WorkerFacts facts;
+  private boolean listed = true;
+  private boolean synced;
+  private boolean closed;
+  private boolean reportInFlight;
+  private boolean awaitsStore;
+  private int failures;
+  private long bornMs = -1;
+  private long clockMs;
+  private long clockAtNs;
+  private long leaseEndsNs;
+  private long lastNumber;
+  private long seenUpTo;
+  private int fillerPercent = FULL_SPEED;
+
+  WorkerSession(
+      ShardLoop loop,
+      TaskWorkerPort port,
+      Listener listener,
+      WorkerFacts facts,
+      long fence,
+      long leaseMs,
+      long firstLeaseEndsNs) {
+    this.loop = loop;
+    this.port = port;
+    this.listener = listener;
+    this.facts = facts;
+    this.fence = fence;
+    this.leaseMs = leaseMs;
+    this.leaseEndsNs = firstLeaseEndsNs;
+    this.room = new WorkerRoom(facts);
+  }
+
+  WorkerRoom room() {
+    return room;
+  }
+
+  /** Takes over what the worker says of itself; null if it is no longer listed. */
+  void update(@Nullable WorkerFacts newer) {
+    if (newer == null) {
+      listed = false;
+      if (facts.draining()) {
+        allGone("the worker has left");
+      }
+      return;
+    }
+    listed = true;
+    facts = newer;
+    room.update(newer);
+    pump();
+  }
+
+  /** Returns whether nothing is left to do for a worker that is no longer listed. */
+  boolean isForgettable() {
+    return !listed && placements.isEmpty();
+  }
+
+  /** Returns whether new runs may go there. */
+  boolean isUsable() {
+    return synced && failures == 0 && listed && !facts.draining() && !room.isSick();
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  Iterable<Placement> placements() {
+    return List.copyOf(placements.values());
+  }
+
+  /** Takes over a run that an earlier coordinator has placed. */
+  void adopt(TaskSlot slot) {
+    Placement placement = add(slot);
+    placement.settledNs = System.nanoTime();
+    placement.settled = true;
+  }
+
+  /** Reserves room for the slot's latest run, whose order follows with {@link #start}. */
+  Placement add(TaskSlot slot) {
+    Placement placement = new Placement(slot, slot.run(), room);
+    room.reserve(slot.id(), slot.run(), slot.spec());
+    placements.put(slot.id().toString(), placement);
+    return placement;
+  }
+
+  /** Takes back a run whose order was never sent. */
+  void withdraw(Placement placement) {
+    remove(placement);
+  }
+
+  /** Sends the order for a run. */
+  void start(Placement placement, String payload, @Nullable String ticket) {
+    long untilMs = leaseUntilMs();
+    TaskSlot slot = placement.slot;
+    if (untilMs == 0) {
+      remove(placement);
+      listener.onNotStarted(placement, Outcome.LATE);
+      return;
+    }
+    extendLease(untilMs);
+    StartOrder order =
+        new StartOrder(slot.id().toString(), placement.run, payload, slot.checkpoint(), ticket);
+    loop.then(
+        port.start(facts, order, untilMs, fence, ORDER_TIMEOUT_MS),
+        (reply, failure) -> onStartAnswered(placement, reply, failure));
+    pump();
+  }
+
+  private void onStartAnswered(
+      Placement placement, @Nullable OrderReply reply, @Nullable PlatformException failure) {
+    if (closed || !isCurrent(placement)) {
+      return;
+    }
+    if (reply == null) {
+      if (failure != null && !failure.mayHaveTakenEffect()) {
+        callFailed(failure);
+        remove(placement);
+        listener.onNotStarted(placement, Outcome.UNAVAILABLE);
+        return;
+      }
+      placement.uncertain = true;
+      placement.uncertainSinceNs = System.nanoTime();
+      callFailed(failure);
+      return;
+    }
+    switch (reply.outcome()) {
+      case ACCEPTED -> {
+        settle(placement);
+        if (placement.startedNs == 0) {
+          placement.startedNs = System.nanoTime();
+          listener.onStarted(placement);
+        }
+        pace(placement);
+      }
+      case FENCED -> listener.onFenced(facts.id());
+      case STALE_RUN -> settle(placement);
+      default -> {
+        remove(placement);
+        listener.onNotStarted(placement, reply.outcome());
+      }
+    }
+    pump();
+  }
+
+  private void settle(Placement placement) {
+    placement.uncertain = false;
+    placement.settled = true;
+    placement.settledNs = System.nanoTime();
+  }
+
+  /** Stops the run of a task, again and again until its end is known. */
+  void stop(TaskSlot slot) {
+    Placement placement = placements.get(slot.id().toString());
+    if (placement != null && !placement.stopping) {
+      placement.stopping = true;
+      sendStop(placement);
+    }
+  }
+
+  private void sendStop(Placement placement) {
+    placement.stopSentNs = System.nanoTime();
+    loop.then(
+        port.stop(facts, placement.slot.id().toString(), placement.run, fence, ORDER_TIMEOUT_MS),
+        (reply, failure) -> {
+          if (closed || !isCurrent(placement)) {
+            return;
+          }
+          if (reply != null && reply.outcome() == Outcome.FENCED) {
+            listener.onFenced(facts.id());
+          } else if (reply != null && reply.outcome() == Outcome.ACCEPTED) {
+            placement.stopSettled = true;
+            settle(placement);
+          }
+          pump();
+        });
+  }
+
+  private boolean isCurrent(Placement placement) {
+    return placements.get(placement.slot.id().toString()) == placement;
+  }
+
+  private void remove(Placement placement) {
+    placements.remove(placement.slot.id().toString(), placement);
+    room.release(placement.slot.id(), placement.run);
+  }
+
+  /** Asks for the next report if none is on its way. */
+  void pump() {
+    if (closed || reportInFlight || awaitsStore || failures > 0) {
+      return;
+    }
+    if (synced && placements.isEmpty() && seenUpTo == lastNumber) {
+      return;
+    }
+    ask(synced && seenUpTo == lastNumber ? REPORT_WAIT_MS : 0);
+  }
+
+  private void ask(long waitMs) {
+    reportInFlight = true;
+    long untilMs = synced ? leaseUntilMs() : 0;
+    if (untilMs > 0) {
+      extendLease(untilMs);
+    }
+    long sentNs = System.nanoTime();
+    loop.then(
+        port.hold(facts, untilMs, seenUpTo, fence, waitMs, waitMs + ORDER_TIMEOUT_MS),
+        (report, failure) -> {
+          reportInFlight = false;
+          if (closed) {
+            return;
+          }
+          if (report == null || report.outcome() == Outcome.UNAVAILABLE) {
+            callFailed(failure);
+          } else if (report.outcome() == Outcome.FENCED) {
+            listener.onFenced(facts.id());
+          } else {
+            onReport(report, sentNs);
+          }
+        });
+  }
+
+  private long leaseUntilMs() {
+    long nowNs = System.nanoTime();
+    long authorityMs = TimeUnit.NANOSECONDS.toMillis(listener.authorityEndsNs() - nowNs);
+    long lengthMs = Math.min(leaseMs, authorityMs);
+    return lengthMs <= 0 || !synced
+        ? 0
+        : clockMs + TimeUnit.NANOSECONDS.toMillis(nowNs - clockAtNs) + lengthMs;
+  }
+
+  private void extendLease(long untilMs) {
+    double remainingMs = (untilMs - clockMs) * ShardSettings.CLOCK_DRIFT;
+    long endsNs =
+        clockAtNs
+            + TimeUnit.MILLISECONDS.toNanos(Math.round(remainingMs) + ShardSettings.LEASE_SLACK_MS);
+    if (endsNs - leaseEndsNs > 0) {
+      leaseEndsNs = endsNs;
+    }
+  }
+
+  private void callFailed(@Nullable PlatformException failure) {
+    failures++;
+    if (failures == 1) {
+      logger.atInfo().log(
+          "worker: %s does not answer, %d runs there: %s",
+          facts.id(), placements.size(), failure == null ? "unavailable" : failure.getMessage());
+    }
+    if (reportInFlight) {
+      return;
+    }
+    long delayMs = RETRY_MS * Math.min(failures, MAX_RETRY_FACTOR);
+    reportInFlight = true;
+    loop.schedule(
+        delayMs,
+        () -> {
+          reportInFlight = false;
+          if (closed) {
+            return;
+          }
+          if (System.nanoTime() - leaseEndsNs > 0) {
+            allGone("its lease has ended and the worker does not answer");
+          }
+          if (listed || !placements.isEmpty()) {
+            ask(0);
+          }
+        });
+  }
+
+  private void allGone(String reason) {
+    for (Placement placement : List.copyOf(placements.values())) {
+      // An order whose answer is still awaited carries a lease of its own that ends later.
+      remove(placement);
+      listener.onGone(placement, reason);
+    }
+  }
+
+  private void onReport(Report report, long sentNs) {
+    final boolean returned = failures > 0 || !synced;
+    if (failures > 0) {
+      logger.atInfo().log("worker: %s answers again.", facts.id());
+    }
+    failures = 0;
+    clockMs = report.clockMs();
+    clockAtNs = System.nanoTime();
+    if (bornMs >= 0 && report.bornMs() >= 0 && report.bornMs() != bornMs) {
+      onReborn(sentNs);
+    }
+    if (report.bornMs() >= 0) {
+      bornMs = report.bornMs();
+    }
+    synced = true;
+    Set<String> present = onRunning(report.running());
+    onEnds(report.ended());
+    if (report.complete()) {
+      findVanished(present, sentNs);
+    }
+    paceFillers(report.running());
+    if (returned) {
+      listener.onUsable();
+    }
+    if (lastNumber > seenUpTo) {
+      acknowledgeWhenStored(lastNumber);
+    } else {
+      pump();
+    }
+  }
+
+  private void onReborn(long sentNs) {
+    logger.atInfo().log(
+        "worker: %s has begun a new life, %d runs lost.", facts.id(), placements.size());
+    lastNumber = 0;
+    seenUpTo = 0;
+    room.forgetFailures();
+    for (Placement placement : List.copyOf(placements.values())) {
+      if (placement.settled && placement.settledNs - sentNs <= 0) {
+        remove(placement);
+        listener.onGone(placement, "the worker has begun a new life");
+      }
+    }
+  }
+
+  private Set<String> onRunning(List<Running> rows) {
+    Set<String> present = new HashSet<>();
+    for (Running row : rows) {
+      Placement placement = placements.get(row.task());
+      if (placement == null || placement.run != row.run()) {
+        stopStray(row);
+        continue;
+      }
+      present.add(row.task());
+      placement.slot.save(row.checkpoint());
+      if (placement.uncertain) {
+        settle(placement);
+      }
+      if (placement.startedNs == 0 && placement.settled) {
+        placement.startedNs = System.nanoTime();
+        listener.onStarted(placement);
+      }
+      if (placement.stopping && olderThan(placement.stopSentNs, STOP_AGAIN_MS)) {
+        sendStop(placement);
+      }
+    }
+    return present;
+  }
+
+  /** Stops a run that no job has placed, such as one whose order came late. */
+  private void stopStray(Running row) {
+    logger.atInfo().log(
+        "worker: %s runs %s run %d, not wanted.", facts.id(), row.task(), row.run());
+    var unused = port.stop(facts, row.task(), row.run(), fence, ORDER_TIMEOUT_MS);
+  }
+
+  private static boolean olderThan(long sinceNs, long ageMs) {
+    return System.nanoTime() - sinceNs > TimeUnit.MILLISECONDS.toNanos(ageMs);
+  }
+
+  private void onEnds(List<Ended> rows) {
+    for (Ended row : rows) {
+      if (row.number() <= lastNumber) {
+        continue;
+      }
+      lastNumber = row.number();
+      Placement placement = placements.get(row.task());
+      if (placement != null && placement.run == row.run()) {
+        remove(placement);
+        listener.onEnded(placement, row.how(), row.checkpoint());
+      }
+    }
+  }
+
+  private void findVanished(Set<String> present, long sentNs) {
+    for (Placement placement : List.copyOf(placements.values())) {
+      if (present.contains(placement.slot.id().toString())) {
+        continue;
+      }
+      if (placement.settled && placement.settledNs - sentNs < 0) {
+        remove(placement);
+        listener.onGone(placement, "the worker does not list it");
+      } else if (placement.uncertain
+          && placement.uncertainSinceNs - sentNs < 0
+          && !placement.stopSettled
+          && olderThan(placement.stopSentNs, STOP_AGAIN_MS)) {
+        // Only a stop makes sure that the order has no effect later.
+        sendStop(placement);
+      }
+    }
+  }
+
+  private void acknowledgeWhenStored(long number) {
+    awaitsStore = true;
+    listener.afterStored(
+        () -> {
+          awaitsStore = false;
+          seenUpTo = Math.max(seenUpTo, Math.min(number, lastNumber));
+          pump();
+        });
+    loop.schedule(RENEW_MS, this::renewWhileWaiting);
+  }
+
+  private void renewWhileWaiting() {
+    if (awaitsStore && !reportInFlight && !closed && failures == 0) {
+      ask(0);
+    }
+  }
+
+  private void paceFillers(List<Running> rows) {
+    if (room.fillers() == 0 || room.serving() == 0) {
+      fillerPercent = FULL_SPEED;
+      return;
+    }
+    double worst = 0;
+    for (Running row : rows) {
+      Placement placement = placements.get(row.task());
+      if (placement != null && placement.slot.spec().targetMs() > 0 && row.load() >= 0) {
+        worst = Math.max(worst, (double) row.load() / placement.slot.spec().targetMs());
+      }
+    }
+    if (worst > 1) {
+      fillerPercent = 0;
+    } else if (worst > SLOW_DOWN_ABOVE) {
+      fillerPercent = fillerPercent / 2;
+    } else if (worst < SPEED_UP_BELOW) {
+      fillerPercent = Math.min(FULL_SPEED, fillerPercent + SPEED_STEP);
+    }
+    placements.values().forEach(this::pace);
+  }
+
+  private void pace(Placement placement) {
+    if (!placement.slot.spec().filler() || placement.startedNs == 0) {
+      return;
+    }
+    placement.wantedPercent = room.serving() == 0 ? FULL_SPEED : fillerPercent;
+    if (placement.wantedPercent == placement.askedPercent) {
+      return;
+    }
+    int before = placement.askedPercent;
+    placement.askedPercent = placement.wantedPercent;
+    loop.then(
+        port.pace(
+            facts,
+            placement.slot.id().toString(),
+            placement.run,
+            placement.wantedPercent,
+            fence,
+            ORDER_TIMEOUT_MS),
+        (reply, failure) -> {
+          if (reply == null) {
+            placement.askedPercent = before;
+            logger.atFine().log("worker: Speed of %s not set.", placement.slot.id());
+          }
+        });
+  }
+
+  /** Gives no more orders and renews no more leases. */
+  void close() {
+    closed = true;
+    List<Placement> all = new ArrayList<>(placements.values());
+    all.forEach(this::remove);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
@@ -0,0 +1,295 @@
+package org.hickorymoor.daemon.shard;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorymoor.domain.workload.AdvicePolicy;
+import org.hickorymoor.domain.workload.JobProgress;
+import org.hickorymoor.domain.workload.QueuePolicy;
+import org.hickorymoor.domain.workload.StepProgress;
+import org.hickorymoor.domain.workload.StepSpec;
+import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.TaskId;
+import org.hickorymoor.domain.workload.TaskSlot;
+import org.hickorymoor.domain.workload.WorkloadSpec;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Packs what the shard keeps in the store.
+ *
+ * <p>A record is an array that begins with its format version, so that later versions can be told
+ * apart by hosts that still run this one.
+ */
+final class WorkloadCodec {
+
+  private static final int FORMAT = 1;
+
+  private static final int CHECKPOINTING = 1;
+  private static final int GANG = 2;
+  private static final int SAME_RACK = 4;
+  private static final int DUPLICABLE = 8;
+  private static final int LONG_RUNNING = 16;
+  private static final int FILLER = 32;
+
+  /** Writes the content of a record. */
+  @FunctionalInterface
+  private interface Body {
+    void write(MessagePacker out) throws IOException;
+  }
+
+  private WorkloadCodec() {}
+
+  static byte[] encode(Submission submission) {
+    return pack(
+        out -> {
+          out.packString(submission.jobId());
+          out.packLong(submission.acceptedAtMs());
+          writePolicy(out, submission.policy());
+          writeSpec(out, submission.spec());
+        });
+  }
+
+  static Submission decodeSubmission(byte[] packed) throws MalformedRecordException {
+    try (MessageUnpacker in = open(packed)) {
+      return new Submission(in.unpackString(), in.unpackLong(), readPolicy(in), readSpec(in));
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new MalformedRecordException("submission", e);
+    }
+  }
+
+  private static void writePolicy(MessagePacker out, QueuePolicy policy) throws IOException {
+    out.packString(policy.queue());
+    out.packString(policy.service());
+    out.packInt(policy.priority());
+    out.packInt(policy.maxAttempts());
+    out.packDouble(policy.stretch());
+    out.packLong(policy.targetLatencyMs());
+    AdvicePolicy advice = policy.advice();
+    out.packBoolean(advice != null);
+    if (advice != null) {
+      out.packDouble(advice.decisionMs());
+      out.packDouble(advice.perWorkerMs());
+      out.packDouble(advice.validityMs());
+    }
+  }
+
+  private static QueuePolicy readPolicy(MessageUnpacker in) throws IOException {
+    return new QueuePolicy(
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackInt(),
+        in.unpackInt(),
+        in.unpackDouble(),
+        in.unpackLong(),
+        in.unpackBoolean()
+            ? new AdvicePolicy(in.unpackDouble(), in.unpackDouble(), in.unpackDouble())
+            : null);
+  }
+
+  private static void writeSpec(MessagePacker out, WorkloadSpec spec) throws IOException {
+    out.packString(spec.payload());
+    out.packInt(spec.repetitions());
+    out.packLong(spec.firstRunMs());
+    out.packLong(spec.intervalMs());
+    out.packArrayHeader(spec.steps().size());
+    for (StepSpec step : spec.steps()) {
+      writeStep(out, step);
+    }
+  }
+
+  private static WorkloadSpec readSpec(MessageUnpacker in) throws IOException {
+    String payload = in.unpackString();
+    int repetitions = in.unpackInt();
+    long firstRunMs = in.unpackLong();
+    long intervalMs = in.unpackLong();
+    int count = in.unpackArrayHeader();
+    List<StepSpec> steps = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      steps.add(readStep(in));
+    }
+    return new WorkloadSpec(payload, steps, repetitions, firstRunMs, intervalMs);
+  }
+
+  private static void writeStep(MessagePacker out, StepSpec step) throws IOException {
+    out.packInt(step.count());
+    out.packInt(step.cpuMillis());
+    out.packInt(step.memoryMb());
+    out.packInt(step.accelerators());
+    out.packLong(step.estimatedMs());
+    out.packArrayHeader(step.after().size());
+    for (int earlier : step.after()) {
+      out.packInt(earlier);
+    }
+    out.packInt(flags(step));
+    writeText(out, step.requiredLabel());
+    writeText(out, step.dataRack());
+    out.packInt(step.maxPerWorker());
+    out.packString(step.image());
+    out.packLong(step.targetMs());
+    out.packInt(step.maxUnavailable());
+  }
+
+  private static StepSpec readStep(MessageUnpacker in) throws IOException {
+    int count = in.unpackInt();
+    int cpuMillis = in.unpackInt();
+    int memoryMb = in.unpackInt();
+    int accelerators = in.unpackInt();
+    long estimatedMs = in.unpackLong();
+    int size = in.unpackArrayHeader();
+    List<Integer> after = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      after.add(in.unpackInt());
+    }
+    int flags = in.unpackInt();
+    String requiredLabel = readText(in);
+    String dataRack = readText(in);
+    int maxPerWorker = in.unpackInt();
+    String image = in.unpackString();
+    long targetMs = in.unpackLong();
+    int maxUnavailable = in.unpackInt();
+    return new StepSpec(
+        count,
+        cpuMillis,
+        memoryMb,
+        accelerators,
+        estimatedMs,
+        after,
+        (flags & CHECKPOINTING) != 0,
+        (flags & GANG) != 0,
+        (flags & SAME_RACK) != 0,
+        requiredLabel,
+        dataRack,
+        maxPerWorker,
+        (flags & DUPLICABLE) != 0,
+        (flags & LONG_RUNNING) != 0,
+        image,
+        targetMs,
+        (flags & FILLER) != 0,
+        maxUnavailable);
+  }
+
+  private static int flags(StepSpec step) {
+    return (step.checkpointing() ? CHECKPOINTING : 0)
+        | (step.gang() ? GANG : 0)
+        | (step.sameRack() ? SAME_RACK : 0)
+        | (step.duplicable() ? DUPLICABLE : 0)
+        | (step.longRunning() ? LONG_RUNNING : 0)
+        | (step.filler() ? FILLER : 0);
+  }
+
+  /** Packs how far a job is; tasks that were never placed are left out. */
+  static byte[] encodeProgress(JobProgress job) {
+    return pack(
+        out -> {
+          out.packString(job.state().name());
+          if (job.state().isFinal() && job.placed().isEmpty()) {
+            out.packArrayHeader(0);
+            return;
+          }
+          List<StepProgress> steps = new ArrayList<>();
+          job.occurrences().values().forEach(steps::addAll);
+          out.packArrayHeader(steps.size());
+          for (StepProgress step : steps) {
+            writeStepProgress(out, step);
+          }
+        });
+  }
+
+  private static void writeStepProgress(MessagePacker out, StepProgress step) throws IOException {
+    out.packInt(step.slots().get(0).id().occurrence());
+    out.packInt(step.number());
+    out.packInt(step.failedGangRuns());
+    out.packInt(step.lastFailedGangRun());
+    List<TaskSlot> touched = step.slots().stream().filter(TaskSlot::isTouched).toList();
+    out.packArrayHeader(touched.size());
+    for (TaskSlot slot : touched) {
+      out.packInt(slot.id().index());
+      out.packInt(slot.phase().ordinal());
+      out.packInt(slot.run());
+      out.packInt(slot.failures());
+      out.packString(slot.phase() == TaskSlot.Phase.DONE ? "" : slot.checkpoint());
+      writeText(out, slot.workerId());
+    }
+  }
+
+  /** Reads the state alone. */
+  static WorkloadState decodeState(byte[] packed) throws MalformedRecordException {
+    try (MessageUnpacker in = open(packed)) {
+      return WorkloadState.valueOf(in.unpackString());
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new MalformedRecordException("progress", e);
+    }
+  }
+
+  /** Puts how far a job was into a job that is new. */
+  static void restore(JobProgress job, byte[] packed) throws MalformedRecordException {
+    try (MessageUnpacker in = open(packed)) {
+      job.restore(WorkloadState.valueOf(in.unpackString()));
+      int steps = in.unpackArrayHeader();
+      for (int i = 0; i < steps; i++) {
+        restoreStep(job, in);
+      }
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new MalformedRecordException("progress", e);
+    }
+  }
+
+  private static void restoreStep(JobProgress job, MessageUnpacker in)
+      throws IOException, MalformedRecordException {
+    int occurrence = in.unpackInt();
+    int number = in.unpackInt();
+    job.steps(occurrence).get(number).restoreGangFailures(in.unpackInt(), in.unpackInt());
+    int slots = in.unpackArrayHeader();
+    for (int i = 0; i < slots; i++) {
+      TaskId id = new TaskId(job.submission().jobId(), occurrence, number, in.unpackInt());
+      TaskSlot slot = job.slot(id);
+      TaskSlot.Phase phase = TaskSlot.Phase.values()[in.unpackInt()];
+      int run = in.unpackInt();
+      int failures = in.unpackInt();
+      String checkpoint = in.unpackString();
+      String worker = readText(in);
+      if (slot == null) {
+        throw new MalformedRecordException("progress names " + id + ", which the job lacks", null);
+      }
+      slot.restore(phase, run, failures, checkpoint, worker);
+    }
+  }
+
+  private static void writeText(MessagePacker out, @Nullable String text) throws IOException {
+    if (text == null) {
+      out.packNil();
+    } else {
+      out.packString(text);
+    }
+  }
+
+  private static @Nullable String readText(MessageUnpacker in) throws IOException {
+    return in.tryUnpackNil() ? null : in.unpackString();
+  }
+
+  private static byte[] pack(Body body) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packInt(FORMAT);
+      body.write(out);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("packing into memory does no I/O", e);
+    }
+  }
+
+  private static MessageUnpacker open(byte[] packed) throws IOException, MalformedRecordException {
+    MessageUnpacker in = MessagePack.newDefaultUnpacker(packed);
+    int format = in.unpackInt();
+    if (format != FORMAT) {
+      throw new MalformedRecordException(
+          "expected record format " + FORMAT + ", got " + format, null);
+    }
+    return in;
+  }
+}
--- a/process-tests/src/test/java/org/hickorymoor/process/Cell.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -19,9 +19,9 @@
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.hickorymoor.daemon.HickorymoordMain;
-import org.hickorymoor.platform.PlatformMain;
-import org.hickorymoor.platform.proxy.FaultProxy;
-import org.hickorymoor.platform.proxy.ProxySettings;
+import org.hickorymoor.standins.StandInsMain;
+import org.hickorymoor.standins.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.ProxySettings;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
@@ -74,7 +74,7 @@
     List<String> args = new ArrayList<>(List.of(kind));
     args.addAll(options);
     JavaProcess process =
-        JavaProcess.start(PlatformMain.class, directory.resolve(kind + ".err"), args);
+        JavaProcess.start(StandInsMain.class, directory.resolve(kind + ".err"), args);
     processes.add(process);
     return process;
   }
--- a/process-tests/src/test/java/org/hickorymoor/process/CutOffHost.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/CutOffHost.java
@@ -2,8 +2,8 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.hickorymoor.platform.proxy.FaultProxy;
-import org.hickorymoor.platform.proxy.ProxyFaults;
+import org.hickorymoor.standins.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.ProxyFaults;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
 
--- a/process-tests/src/test/java/org/hickorymoor/process/PairsProcessTest.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/PairsProcessTest.java
@@ -13,7 +13,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import org.awaitility.Awaitility;
-import org.hickorymoor.platform.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.FaultProxy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/process-tests/src/test/java/org/hickorymoor/process/ProxiedWorker.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/ProxiedWorker.java
@@ -1,6 +1,6 @@
 package org.hickorymoor.process;
 
-import org.hickorymoor.platform.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.FaultProxy;
 
 /**
  * A worker in a process of its own that daemons reach through a proxy only.
--- a/platform/src/main/java/org/hickorymoor/platform/HostsCommand.java
+++ b/standins/src/main/java/org/hickorymoor/standins/HostsCommand.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
@@ -7,10 +7,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import org.hickorymoor.platform.hosts.HostListSettings;
-import org.hickorymoor.platform.hosts.HostListStandIn;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostList;
+import org.hickorymoor.standins.hosts.HostListSettings;
+import org.hickorymoor.standins.hosts.HostListStandIn;
 import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
--- a/platform/src/main/java/org/hickorymoor/platform/LogCommand.java
+++ b/standins/src/main/java/org/hickorymoor/standins/LogCommand.java
@@ -1,9 +1,9 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import java.io.IOException;
 import java.util.List;
-import org.hickorymoor.platform.log.LogSettings;
-import org.hickorymoor.platform.log.LogStandIn;
+import org.hickorymoor.standins.log.LogSettings;
+import org.hickorymoor.standins.log.LogStandIn;
 import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
--- a/platform/src/main/java/org/hickorymoor/platform/StandInCommand.java
+++ b/standins/src/main/java/org/hickorymoor/standins/StandInCommand.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import java.io.IOException;
 import java.util.List;
@@ -7,7 +7,7 @@
 import org.kohsuke.args4j.Option;
 
 /**
- * A subcommand of {@link PlatformMain}: options of one kind of stand-in, and its start and stop.
+ * A subcommand of {@link StandInsMain}: options of one kind of stand-in, and its start and stop.
  */
 abstract class StandInCommand {
 
--- a/platform/src/main/java/org/hickorymoor/platform/PlatformMain.java
+++ b/standins/src/main/java/org/hickorymoor/standins/StandInsMain.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,25 +14,25 @@
  * Runs a stand-in for a part of the platform as a process of its own.
  *
  * <pre>{@code
- * PlatformMain worker --id w1 --domain kano --rack rack-1 --slots 8
- * PlatformMain log --appends-per-second 300
- * PlatformMain hosts --lag-ms 2000 --hosts-file hosts.json
+ * StandInsMain worker --id w1 --domain kano --rack rack-1 --slots 8
+ * StandInsMain log --appends-per-second 300
+ * StandInsMain hosts --lag-ms 2000 --hosts-file hosts.json
  * }</pre>
  *
  * <p>Once it serves it prints {@code READY <kind> <ip:port>} to the standard output, one line for
  * each worker in the order of the options and nothing else. It ends on SIGTERM. Exit codes: 2 for
  * wrong options, 1 if it could not start.
  */
-public final class PlatformMain {
+public final class StandInsMain {
 
   private static final Map<String, Supplier<StandInCommand>> COMMANDS =
       Map.of("worker", WorkerCommand::new, "log", LogCommand::new, "hosts", HostsCommand::new);
   private static final String LOGBACK_PROPERTY = "logback.configurationFile";
-  private static final String LOGBACK_FILE = "org/hickorymoor/platform/logback-platform.xml";
+  private static final String LOGBACK_FILE = "org/hickorymoor/standins/logback-platform.xml";
   private static final int EXIT_START_FAILED = 1;
   private static final int EXIT_USAGE = 2;
 
-  private PlatformMain() {}
+  private StandInsMain() {}
 
   /**
    * Runs until SIGTERM.
--- a/platform/src/main/java/org/hickorymoor/platform/WorkerCommand.java
+++ b/standins/src/main/java/org/hickorymoor/standins/WorkerCommand.java
@@ -1,13 +1,13 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.hickorymoor.domain.Resources;
-import org.hickorymoor.platform.worker.WorkerNoise;
-import org.hickorymoor.platform.worker.WorkerSettings;
-import org.hickorymoor.platform.worker.WorkerStandIn;
+import org.hickorymoor.standins.worker.WorkerNoise;
+import org.hickorymoor.standins.worker.WorkerSettings;
+import org.hickorymoor.standins.worker.WorkerStandIn;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
--- a/platform/src/main/java/org/hickorymoor/platform/hosts/HostListStandIn.java
+++ b/standins/src/main/java/org/hickorymoor/standins/hosts/HostListStandIn.java
@@ -1,14 +1,14 @@
-package org.hickorymoor.platform.hosts;
+package org.hickorymoor.standins.hosts;
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
-import org.hickorymoor.platform.http.Exchange;
-import org.hickorymoor.platform.http.HttpService;
-import org.hickorymoor.platform.http.MalformedCallException;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostList;
+import org.hickorymoor.standins.http.Exchange;
+import org.hickorymoor.standins.http.HttpService;
+import org.hickorymoor.standins.http.MalformedCallException;
 
 /**
  * A list of hosts whose changes become visible late.
--- a/platform/src/main/java/org/hickorymoor/platform/hosts/LaggingHosts.java
+++ b/standins/src/main/java/org/hickorymoor/standins/hosts/LaggingHosts.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.hosts;
+package org.hickorymoor.standins.hosts;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/hickorymoor/platform/hosts/package-info.java
+++ b/standins/src/main/java/org/hickorymoor/standins/hosts/package-info.java
@@ -1,5 +1,5 @@
 /** A stand-in for the platform's host list. */
 @NullMarked
-package org.hickorymoor.platform.hosts;
+package org.hickorymoor.standins.hosts;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/hickorymoor/platform/http/ErrorReply.java
+++ b/standins/src/main/java/org/hickorymoor/standins/http/ErrorReply.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.http;
+package org.hickorymoor.standins.http;
 
 /**
  * Body of an answer that refuses a call.
--- a/platform/src/main/java/org/hickorymoor/platform/http/Exchange.java
+++ b/standins/src/main/java/org/hickorymoor/standins/http/Exchange.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.http;
+package org.hickorymoor.standins.http;
 
 import com.google.gson.Gson;
 import com.google.gson.GsonBuilder;
--- a/platform/src/main/java/org/hickorymoor/platform/http/ExchangeHandler.java
+++ b/standins/src/main/java/org/hickorymoor/standins/http/ExchangeHandler.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.http;
+package org.hickorymoor.standins.http;
 
 /** Answers calls, at once or later, without blocking its thread. Called by several threads. */
 @FunctionalInterface
--- a/platform/src/main/java/org/hickorymoor/platform/http/HttpService.java
+++ b/standins/src/main/java/org/hickorymoor/standins/http/HttpService.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.http;
+package org.hickorymoor.standins.http;
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
--- a/platform/src/main/java/org/hickorymoor/platform/http/MalformedCallException.java
+++ b/standins/src/main/java/org/hickorymoor/standins/http/MalformedCallException.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.http;
+package org.hickorymoor.standins.http;
 
 /** Tells that a call's body or parameters could not be read; the call had no effect. */
 public final class MalformedCallException extends Exception {
--- a/platform/src/main/java/org/hickorymoor/platform/http/SharedResources.java
+++ b/standins/src/main/java/org/hickorymoor/standins/http/SharedResources.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.http;
+package org.hickorymoor.standins.http;
 
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.io.ByteBufferPool;
--- a/platform/src/main/java/org/hickorymoor/platform/log/LogSettings.java
+++ b/standins/src/main/java/org/hickorymoor/standins/log/LogSettings.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.log;
+package org.hickorymoor.standins.log;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
--- a/platform/src/main/java/org/hickorymoor/platform/log/LogStandIn.java
+++ b/standins/src/main/java/org/hickorymoor/standins/log/LogStandIn.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.log;
+package org.hickorymoor.standins.log;
 
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
@@ -11,12 +11,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import org.hickorymoor.platform.http.Exchange;
-import org.hickorymoor.platform.http.HttpService;
-import org.hickorymoor.platform.http.MalformedCallException;
 import org.hickorymoor.protocol.platform.AppendCommand;
 import org.hickorymoor.protocol.platform.AppendReply;
 import org.hickorymoor.protocol.platform.ReadReply;
+import org.hickorymoor.standins.http.Exchange;
+import org.hickorymoor.standins.http.HttpService;
+import org.hickorymoor.standins.http.MalformedCallException;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/platform/src/main/java/org/hickorymoor/platform/log/LogStream.java
+++ b/standins/src/main/java/org/hickorymoor/standins/log/LogStream.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.log;
+package org.hickorymoor.standins.log;
 
 import static java.util.concurrent.TimeUnit.NANOSECONDS;
 
--- a/platform/src/main/java/org/hickorymoor/platform/log/package-info.java
+++ b/standins/src/main/java/org/hickorymoor/standins/log/package-info.java
@@ -1,5 +1,5 @@
 /** A stand-in for the platform's log service. */
 @NullMarked
-package org.hickorymoor.platform.log;
+package org.hickorymoor.standins.log;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/hickorymoor/platform/proxy/package-info.java
+++ b/standins/src/main/java/org/hickorymoor/standins/proxy/package-info.java
@@ -1,5 +1,5 @@
 /** A TCP proxy that injects network faults, for tests. */
 @NullMarked
-package org.hickorymoor.platform.proxy;
+package org.hickorymoor.standins.proxy;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/hickorymoor/platform/worker/Checkpoint.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/Checkpoint.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
--- a/platform/src/main/java/org/hickorymoor/platform/worker/TaskNames.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/TaskNames.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
--- a/platform/src/main/java/org/hickorymoor/platform/worker/UsageHistory.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/UsageHistory.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import java.util.ArrayDeque;
 import org.hickorymoor.protocol.platform.Usage;
--- a/platform/src/main/java/org/hickorymoor/platform/worker/WorkerRecord.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/WorkerRecord.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import java.util.List;
 import java.util.Map;
--- a/platform/src/main/java/org/hickorymoor/platform/worker/WorkerStandIn.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/WorkerStandIn.java
@@ -1,15 +1,15 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
-import org.hickorymoor.platform.http.Exchange;
-import org.hickorymoor.platform.http.HttpService;
-import org.hickorymoor.platform.http.MalformedCallException;
 import org.hickorymoor.protocol.platform.StartCommand;
 import org.hickorymoor.protocol.platform.SyncCommand;
 import org.hickorymoor.protocol.platform.TaskCommand;
+import org.hickorymoor.standins.http.Exchange;
+import org.hickorymoor.standins.http.HttpService;
+import org.hickorymoor.standins.http.MalformedCallException;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/platform/src/main/java/org/hickorymoor/platform/worker/package-info.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/package-info.java
@@ -1,5 +1,5 @@
 /** A stand-in for the platform's workers. */
 @NullMarked
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/test/java/org/hickorymoor/platform/HttpCaller.java
+++ b/standins/src/test/java/org/hickorymoor/standins/HttpCaller.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import com.google.gson.Gson;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/test/java/org/hickorymoor/platform/PlatformMainTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/StandInsMainTest.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.standins;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-final class PlatformMainTest {
+final class StandInsMainTest {
 
   private static final long LIMIT_S = 60;
   private static final int EXIT_USAGE = 2;
@@ -92,7 +92,7 @@
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-Xmx32m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
     command.addAll(List.of("-cp", System.getProperty("java.class.path")));
-    command.add(PlatformMain.class.getName());
+    command.add(StandInsMain.class.getName());
     command.addAll(List.of(arguments));
     Process process = new ProcessBuilder(command).start();
     processes.add(process);
--- a/platform/src/test/java/org/hickorymoor/platform/hosts/HostListStandInTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/hosts/HostListStandInTest.java
@@ -1,13 +1,13 @@
-package org.hickorymoor.platform.hosts;
+package org.hickorymoor.standins.hosts;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import org.eclipse.jetty.http.HttpMethod;
-import org.hickorymoor.platform.HttpCaller;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostList;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
+import org.hickorymoor.standins.HttpCaller;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/platform/src/test/java/org/hickorymoor/platform/hosts/LaggingHostsTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/hosts/LaggingHostsTest.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.hosts;
+package org.hickorymoor.standins.hosts;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/hickorymoor/platform/log/LogStandInTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/log/LogStandInTest.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.log;
+package org.hickorymoor.standins.log;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.awaitility.Awaitility.await;
@@ -8,11 +8,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import org.hickorymoor.platform.HttpCaller;
 import org.hickorymoor.protocol.platform.AppendCommand;
 import org.hickorymoor.protocol.platform.AppendReply;
 import org.hickorymoor.protocol.platform.LogRecord;
 import org.hickorymoor.protocol.platform.ReadReply;
+import org.hickorymoor.standins.HttpCaller;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/platform/src/test/java/org/hickorymoor/platform/proxy/PipeTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/proxy/PipeTest.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.proxy;
+package org.hickorymoor.standins.proxy;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/hickorymoor/platform/worker/RunTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/worker/RunTest.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/hickorymoor/platform/worker/WorkerStandInTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/worker/WorkerStandInTest.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform.worker;
+package org.hickorymoor.standins.worker;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.awaitility.Awaitility.await;
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hickorymoor.domain.Resources;
-import org.hickorymoor.platform.HttpCaller;
 import org.hickorymoor.protocol.platform.CommandOutcome;
 import org.hickorymoor.protocol.platform.CommandReply;
 import org.hickorymoor.protocol.platform.EndOutcome;
@@ -18,6 +17,7 @@
 import org.hickorymoor.protocol.platform.SyncReply;
 import org.hickorymoor.protocol.platform.TaskCommand;
 import org.hickorymoor.protocol.platform.WorkerInfo;
+import org.hickorymoor.standins.HttpCaller;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
