Count the bytes of the shard's messages under a purpose of their own

Cause: a request without a purpose ended the connection to every peer, so approvals and questions only worked on the coordinator itself. Ruled out: addresses, time limits (the exception stood in the log).

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -17,6 +17,10 @@
   DRAIN_WORKER("drain-worker", PeerRequest.DrainWorker.class),
   STORE_INTENT("store-intent", PeerRequest.StoreIntent.class),
   FETCH_INTENTS("fetch-intents", PeerRequest.FetchIntents.class),
+  RELAY_SUBMISSION("relay-submission", PeerRequest.RelaySubmission.class),
+  GET_WORKLOAD("get-workload", PeerRequest.GetWorkload.class),
+  GET_QUEUE_DEPTH("get-queue-depth", PeerRequest.GetQueueDepth.class),
+  ASK_APPROVAL("ask-approval", PeerRequest.AskApproval.class),
 
   /** Hello, heartbeat and go-away frames. */
   UPKEEP("upkeep", null),
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -48,7 +48,6 @@
   /** Longest wait for new submissions in one read. */
   private static final long INTAKE_WAIT_MS = 1_000;
 
-
   /** Decisions are made at most this often, so that one pass serves many events. */
   private static final long PASS_MS = 4;
 
