--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
@@ -108,7 +108,7 @@
   }
 
   private List<String> freeHosts() {
-    long nowNs = System.nanoTime();
+    long nowNs = loop.nowNs();
     List<String> free = new ArrayList<>();
     for (String host : hosts.get()) {
       Long until = busyUntilNs.get(host);
@@ -121,7 +121,7 @@
 
   private void send(String host, Ask ask) {
     long withinMs = ask.expectedMs() * 2 + MARGIN_MS;
-    long sentNs = System.nanoTime();
+    long sentNs = loop.nowNs();
     busyUntilNs.put(host, sentNs + TimeUnit.MILLISECONDS.toNanos(withinMs * 2));
     loop.then(
         caller.ask(host, ask.step(), ask.workerIds(), withinMs),
@@ -141,7 +141,7 @@
       logger.atInfo().log(
           "advice: No answer for %s through %s: %s",
           ask.step(), host, failure == null ? "no reason" : failure.getMessage());
-      busyUntilNs.put(host, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HOST_PAUSE_MS));
+      busyUntilNs.put(host, loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(HOST_PAUSE_MS));
       loop.schedule(HOST_PAUSE_MS + 1, this::dispatch);
     } else {
       busyUntilNs.remove(host);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.UUID;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Chunk;
@@ -43,7 +42,7 @@
   private static final int EPOCH_STEP = 4_096;
 
   /** Spreads the claims of hosts that notice the silence at the same moment. */
-  private static final long CLAIM_SPREAD_MS = 150;
+  private static final int CLAIM_SPREAD_MS = 150;
 
   private final ShardLoop loop;
   private final KeyedLogPort log;
@@ -84,7 +83,7 @@
   /**
    * Returns until when the coordinator may renew leases.
    *
-   * @return as {@link System#nanoTime}
+   * @return as nanoseconds of the loop
    */
   long authorityEndsNs() {
     return confirmedNs + TimeUnit.MILLISECONDS.toNanos(ShardSettings.AUTHORITY_MS);
@@ -202,7 +201,7 @@
       loop.schedule(ShardSettings.HEARTBEAT_MS, this::follow);
       return;
     }
-    loop.schedule(ThreadLocalRandom.current().nextLong(CLAIM_SPREAD_MS), this::claim);
+    loop.schedule(loop.random().nextInt(CLAIM_SPREAD_MS), this::claim);
   }
 
   private void claim() {
@@ -210,12 +209,11 @@
       return;
     }
     Coordinator before = current;
-    long epoch =
-        (before == null ? 0 : before.epoch()) + 1 + ThreadLocalRandom.current().nextInt(EPOCH_STEP);
+    long epoch = (before == null ? 0 : before.epoch()) + 1 + loop.random().nextInt(EPOCH_STEP);
     Coordinator claim =
         new Coordinator(
             epoch, settings.hostId(), settings.peerAddress(), UUID.randomUUID().toString(), false);
-    long sentNs = System.nanoTime();
+    long sentNs = loop.nowNs();
     loop.then(
         log.append(
             LogPart.OWNERSHIP,
@@ -292,7 +290,7 @@
       return;
     }
     beating = true;
-    long sentNs = System.nanoTime();
+    long sentNs = loop.nowNs();
     loop.then(
         log.append(
             LogPart.OWNERSHIP,
@@ -321,7 +319,7 @@
       return;
     }
     storeFailed(failure);
-    if (System.nanoTime() - authorityEndsNs() >= 0) {
+    if (loop.nowNs() - authorityEndsNs() >= 0) {
       depose("no heartbeat confirmed for " + ShardSettings.AUTHORITY_MS + " ms");
       load();
       return;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -5,10 +5,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.hickorymoor.daemon.peer.PeerClient;
 import org.hickorymoor.daemon.peer.PeerErrorType;
 import org.hickorymoor.daemon.peer.PeerHandler;
 import org.hickorymoor.daemon.peer.PeerReply;
@@ -16,6 +14,7 @@
 import org.hickorymoor.daemon.port.AdvicePort;
 import org.hickorymoor.daemon.port.AdvicePort.Approval;
 import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.PeerPort;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.WorkerRecordDecoder;
@@ -66,13 +65,13 @@
    */
   public record JobAnswer(boolean answered, @Nullable WorkloadState state) {}
 
-  private final ShardLoop loop = new ShardLoop();
+  private final ShardLoop loop;
   private final ShardSettings settings;
   private final KeyedLogPort log;
   private final TaskWorkerPort workers;
   private final AdvicePort advice;
   private final WorkerRecordDecoder decoder;
-  private final PeerClient peers;
+  private final PeerPort peers;
   private final SubmissionLog submissions;
   private final HostRegistry hosts;
   private final Ownership ownership;
@@ -88,6 +87,7 @@
    * @param advice asks for approvals
    * @param decoder reads the list of workers
    * @param peers calls other hosts
+   * @param loop the thread that the shard belongs to; stopped with the shard
    */
   public Shard(
       ShardSettings settings,
@@ -95,13 +95,16 @@
       TaskWorkerPort workers,
       AdvicePort advice,
       WorkerRecordDecoder decoder,
-      PeerClient peers) {
+      PeerPort peers,
+      ShardLoop loop) {
+    this.loop = loop;
     this.settings = settings;
     this.log = log;
     this.workers = workers;
     this.advice = advice;
     this.decoder = decoder;
     this.peers = peers;
+
     this.submissions = new SubmissionLog(loop, log);
     this.hosts = new HostRegistry(loop, log, settings);
     this.ownership = new Ownership(loop, log, settings, new Roles());
@@ -179,11 +182,11 @@
     Attempt(String key, byte[] value, long withinMs) {
       this.key = key;
       this.value = value;
-      this.endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+      this.endNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs);
     }
 
     private long leftMs() {
-      return TimeUnit.NANOSECONDS.toMillis(endNs - System.nanoTime());
+      return TimeUnit.NANOSECONDS.toMillis(endNs - loop.nowNs());
     }
 
     private void viaStore() {
@@ -248,7 +251,7 @@
         hosts.addresses().stream()
             .filter(address -> !address.equals(settings.peerAddress()))
             .toList();
-    return others.isEmpty() ? null : others.get(ThreadLocalRandom.current().nextInt(others.size()));
+    return others.isEmpty() ? null : others.get(loop.random().nextInt(others.size()));
   }
 
   /**
@@ -260,7 +263,7 @@
    */
   public CompletableFuture<JobAnswer> state(String jobId, long withinMs) {
     CompletableFuture<JobAnswer> result = new CompletableFuture<>();
-    long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+    long endNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs);
     ask(
         new PeerRequest.GetWorkload(jobId),
         endNs,
@@ -285,7 +288,7 @@
    */
   public CompletableFuture<Integer> waiting(String queue, long withinMs) {
     CompletableFuture<Integer> result = new CompletableFuture<>();
-    long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+    long endNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs);
     ask(
         new PeerRequest.GetQueueDepth(queue),
         endNs,
@@ -298,7 +301,7 @@
   private void ask(PeerRequest request, long endNs, Consumer<@Nullable PeerReply> handler) {
     loop.execute(
         () -> {
-          long leftMs = TimeUnit.NANOSECONDS.toMillis(endNs - System.nanoTime());
+          long leftMs = TimeUnit.NANOSECONDS.toMillis(endNs - loop.nowNs());
           Coordinator coordinator = ownership.current();
           if (leftMs <= 0) {
             handler.accept(null);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -107,7 +107,7 @@
   private final AdviceDesk advice;
   private final LedgerWriter ledger;
   private final Consumer<String> onSuperseded;
-  private final long electedNs = System.nanoTime();
+  private final long electedNs;
   private final Map<String, Job> jobs = new HashMap<>();
   private final Map<String, WorkloadState> ended = new HashMap<>();
   private final Set<String> cancelled = new HashSet<>();
@@ -133,6 +133,7 @@
       AdviceDesk advice,
       Consumer<String> onSuperseded) {
     this.loop = loop;
+    this.electedNs = loop.nowNs();
     this.log = log;
     this.workerPort = workerPort;
     this.settings = settings;
@@ -211,13 +212,10 @@
     progressRecords.forEach(this::rememberEnded);
     progressRecords = Map.of();
     ready = true;
-    intakeAtNs = System.nanoTime();
+    intakeAtNs = loop.nowNs();
     logger.atInfo().log(
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
-        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - electedNs),
-        epoch,
-        jobs.size(),
-        ended.size());
+        TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs), epoch, jobs.size(), ended.size());
     followIntake();
     catalog.start(this::onWorkers);
     passSoon();
@@ -260,7 +258,7 @@
             loop.schedule(ShardSettings.STORE_RETRY_MS, this::followIntake);
             return;
           }
-          intakeAtNs = System.nanoTime();
+          intakeAtNs = loop.nowNs();
           for (Stored stored : chunk.records()) {
             takeIn(stored);
             intakeOffset = stored.offset() + 1;
@@ -326,7 +324,7 @@
     }
     Job job = new Job(progress);
     jobs.put(jobId, job);
-    progress.beginDue(System.currentTimeMillis());
+    progress.beginDue(loop.nowMs());
     if (ready) {
       logger.atInfo().log(
           "job: %s taken on, queue %s, %d steps, offset %d.",
@@ -421,7 +419,7 @@
 
   /** Frees tasks placed on workers that are not listed any more, once their lease has ended. */
   private void freeOrphans() {
-    long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - electedNs);
+    long waitedMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs);
     if (waitedMs
         < ShardSettings.AUTHORITY_MS * ShardSettings.CLOCK_DRIFT + ShardSettings.LEASE_SLACK_MS) {
       return;
@@ -452,7 +450,7 @@
           "job: %s runs, first on %s, %d ms after it was accepted.",
           job.id(),
           placement.room().facts().id(),
-          System.currentTimeMillis() - job.progress.submission().acceptedAtMs());
+          loop.nowMs() - job.progress.submission().acceptedAtMs());
       changed(job);
     }
   }
@@ -469,13 +467,13 @@
         // An approval that has ended is asked for again; one that was denied is not.
         known.tickets.computeIfPresent(
             placement.room().facts().id(),
-            (worker, ticket) -> new Ticket(ticket.text(), System.nanoTime()));
+            (worker, ticket) -> new Ticket(ticket.text(), loop.nowNs()));
       }
     }
     Job job = jobs.get(slot.id().jobId());
     if (job != null && slot.run() == placement.run()) {
       endRun(job, placement, EndKind.STOPPED, "");
-      job.pausedUntilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_REFUSAL_MS);
+      job.pausedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_REFUSAL_MS);
     }
   }
 
@@ -486,11 +484,11 @@
     if (how == EndKind.FAILED) {
       room.learnFailure();
       if (room.isSick()) {
-        sickSinceNs.putIfAbsent(room.facts().id(), System.nanoTime());
+        sickSinceNs.putIfAbsent(room.facts().id(), loop.nowNs());
         logger.atInfo().log("worker: %s fails what it starts, paused.", room.facts().id());
       }
     } else if (how == EndKind.DONE && placement.startedNs() != 0 && !slot.spec().gang()) {
-      long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - placement.startedNs());
+      long tookMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - placement.startedNs());
       room.learnSuccess(tookMs, slot.spec().estimatedMs());
     }
     Job job = jobs.get(slot.id().jobId());
@@ -520,7 +518,7 @@
           "job: %s %s, %d ms after it was accepted, last run %s %s.",
           job.id(),
           after,
-          System.currentTimeMillis() - job.progress.submission().acceptedAtMs(),
+          loop.nowMs() - job.progress.submission().acceptedAtMs(),
           placement.slot().id(),
           how);
       if (after == WorkloadState.FAILED) {
@@ -580,7 +578,7 @@
   /** Returns whether the submissions were looked at so recently that a job not seen is unknown. */
   boolean isCurrent() {
     return isReady()
-        && System.nanoTime() - intakeAtNs
+        && loop.nowNs() - intakeAtNs
             < TimeUnit.MILLISECONDS.toNanos(INTAKE_FRESH_MS)
                 + TimeUnit.MILLISECONDS.toNanos(INTAKE_WAIT_MS);
   }
@@ -609,14 +607,14 @@
     if (closed) {
       return;
     }
-    long nowMs = System.currentTimeMillis();
+    long nowMs = loop.nowMs();
     for (Job job : jobs.values()) {
       if (job.progress.submission().spec().repetitions() > 0) {
         job.progress.beginDue(nowMs);
         pending.add(job);
       }
     }
-    long nowNs = System.nanoTime();
+    long nowNs = loop.nowNs();
     sickSinceNs
         .entrySet()
         .removeIf(
@@ -648,7 +646,7 @@
     if (closed) {
       return;
     }
-    long nowNs = System.nanoTime();
+    long nowNs = loop.nowNs();
     List<StepProgress> steps = new ArrayList<>();
     Map<StepProgress, Job> owners = new HashMap<>();
     for (Job job : List.copyOf(pending)) {
@@ -752,7 +750,7 @@
       List<WorkerSession> usable,
       @Nullable Approvals known,
       @Nullable String gangRack) {
-    long nowNs = System.nanoTime();
+    long nowNs = loop.nowNs();
     int priority = job.progress.submission().policy().priority();
     WorkerSession best = null;
     double bestCost = Double.MAX_VALUE;
@@ -813,7 +811,7 @@
             .filter(slot -> slot.phase() == TaskSlot.Phase.IDLE)
             .findFirst()
             .orElse(step.slots().get(0));
-    long nowNs = System.nanoTime();
+    long nowNs = loop.nowNs();
     List<WorkerSession> wanted = new ArrayList<>();
     for (WorkerSession session : usable) {
       String id = session.room().facts().id();
@@ -847,7 +845,7 @@
               if (approved != null) {
                 known.asked.addAll(ids);
                 long endsNs =
-                    System.nanoTime()
+                    loop.nowNs()
                         + TimeUnit.MILLISECONDS.toNanos(
                             Math.round(policy.validityMs()) - TICKET_MARGIN_MS);
                 approved.forEach(
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -55,7 +55,7 @@
     /** The worker can take work again. */
     void onUsable();
 
-    /** Returns until when leases may be renewed, as {@link System#nanoTime}. */
+    /** Returns until when leases may be renewed, as nanoseconds of the loop. */
     long authorityEndsNs();
   }
 
@@ -212,7 +212,7 @@
   /** Takes over a run that an earlier coordinator has placed. */
   void adopt(TaskSlot slot) {
     Placement placement = add(slot);
-    placement.settledNs = System.nanoTime();
+    placement.settledNs = loop.nowNs();
     placement.settled = true;
   }
 
@@ -260,7 +260,7 @@
         return;
       }
       placement.uncertain = true;
-      placement.uncertainSinceNs = System.nanoTime();
+      placement.uncertainSinceNs = loop.nowNs();
       callFailed(failure);
       return;
     }
@@ -268,7 +268,7 @@
       case ACCEPTED -> {
         settle(placement);
         if (placement.startedNs == 0) {
-          placement.startedNs = System.nanoTime();
+          placement.startedNs = loop.nowNs();
           listener.onStarted(placement);
         }
         pace(placement);
@@ -286,7 +286,7 @@
   private void settle(Placement placement) {
     placement.uncertain = false;
     placement.settled = true;
-    placement.settledNs = System.nanoTime();
+    placement.settledNs = loop.nowNs();
   }
 
   /** Stops the run of a task, again and again until its end is known. */
@@ -299,7 +299,7 @@
   }
 
   private void sendStop(Placement placement) {
-    placement.stopSentNs = System.nanoTime();
+    placement.stopSentNs = loop.nowNs();
     loop.then(
         port.stop(facts, placement.slot.id().toString(), placement.run, fence, ORDER_TIMEOUT_MS),
         (reply, failure) -> {
@@ -342,7 +342,7 @@
     if (untilMs > 0) {
       extendLease(untilMs);
     }
-    long sentNs = System.nanoTime();
+    long sentNs = loop.nowNs();
     loop.then(
         port.hold(facts, untilMs, seenUpTo, fence, waitMs, waitMs + ORDER_TIMEOUT_MS),
         (report, failure) -> {
@@ -361,7 +361,7 @@
   }
 
   private long leaseUntilMs() {
-    long nowNs = System.nanoTime();
+    long nowNs = loop.nowNs();
     long authorityMs = TimeUnit.NANOSECONDS.toMillis(listener.authorityEndsNs() - nowNs);
     long lengthMs = Math.min(leaseMs, authorityMs);
     return lengthMs <= 0 || !synced
@@ -398,7 +398,7 @@
           if (closed) {
             return;
           }
-          if (System.nanoTime() - leaseEndsNs > 0) {
+          if (loop.nowNs() - leaseEndsNs > 0) {
             allGone("its lease has ended and the worker does not answer");
           }
           if (listed || !placements.isEmpty()) {
@@ -422,7 +422,7 @@
     }
     failures = 0;
     clockMs = report.clockMs();
-    clockAtNs = System.nanoTime();
+    clockAtNs = loop.nowNs();
     if (bornMs >= 0 && report.bornMs() >= 0 && report.bornMs() != bornMs) {
       onReborn(sentNs);
     }
@@ -474,7 +474,7 @@
         settle(placement);
       }
       if (placement.startedNs == 0 && placement.settled) {
-        placement.startedNs = System.nanoTime();
+        placement.startedNs = loop.nowNs();
         listener.onStarted(placement);
       }
       if (placement.stopping && olderThan(placement.stopSentNs, STOP_AGAIN_MS)) {
@@ -491,8 +491,8 @@
     var unused = port.stop(facts, row.task(), row.run(), fence, ORDER_TIMEOUT_MS);
   }
 
-  private static boolean olderThan(long sinceNs, long ageMs) {
-    return System.nanoTime() - sinceNs > TimeUnit.MILLISECONDS.toNanos(ageMs);
+  private boolean olderThan(long sinceNs, long ageMs) {
+    return loop.nowNs() - sinceNs > TimeUnit.MILLISECONDS.toNanos(ageMs);
   }
 
   private void onEnds(List<Ended> rows) {
