Place runs again whose worker was not listed when the coordinator changed

Traced by the job ids: placed before the takeover, no line after it. Ruled out: approvals, full workers. ShardTest drives hosts, a store and workers in virtual time; the outage test also showed that ten seconds of authority end in an outage of nine, so authority is twelve and heartbeats are given up after 600 ms.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
@@ -297,7 +297,7 @@
             List.of(new Entry(KEY, claim.encode())),
             new Writer(WRITER, claim.epoch(), sequence),
             KeyedLogPort.ANY_OFFSET,
-            ShardSettings.STORE_TIMEOUT_MS),
+            ShardSettings.HEARTBEAT_TIMEOUT_MS),
         (offset, failure) -> onBeaten(claim, sentNs, failure));
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -330,6 +330,12 @@
         });
   }
 
+  /** Returns whether this host coordinates and has taken over; belongs to the loop's thread. */
+  boolean isCoordinating() {
+    ShardOwner coordinating = owner;
+    return coordinating != null && coordinating.isReady();
+  }
+
   /** Answers a question from this host's own knowledge; belongs to the thread of the loop. */
   private PeerReply answer(PeerRequest request) {
     ShardOwner coordinating = owner;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -427,8 +427,12 @@
     for (Job job : jobs.values()) {
       for (TaskSlot slot : job.progress.placed()) {
         if (!sessions.containsKey(String.valueOf(slot.workerId()))) {
+          logger.atInfo().log(
+              "task: %s run %d is gone, its worker %s is not listed and its lease has ended.",
+              slot.id(), slot.run(), slot.workerId());
           job.progress.end(slot, EndKind.LAPSED, "");
           changed(job);
+          pending.add(job);
         }
       }
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
@@ -20,7 +20,7 @@
    * A coordinator renews leases only this long after its last confirmed heartbeat, so that its
    * successor knows when the last lease ends; longer than the usual outage of the store.
    */
-  static final long AUTHORITY_MS = 10_000;
+  static final long AUTHORITY_MS = 12_000;
 
   /** Workers' clocks may run 2% slow, which lengthens a lease as others see it. */
   static final double CLOCK_DRIFT = 1.021;
@@ -31,6 +31,9 @@
   /** The store answers within 10 ms when it is well; a lost answer is noticed within this time. */
   static final long STORE_TIMEOUT_MS = 1_000;
 
+  /** Time for a heartbeat, so that one lost answer leaves room for another before the silence. */
+  static final long HEARTBEAT_TIMEOUT_MS = 600;
+
   /** Wait before a failed call to the store is sent again. */
   static final long STORE_RETRY_MS = 100;
 }
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -0,0 +1,169 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.hickorymoor.daemon.shard.SimulatedCell.step;
+
+import java.util.List;
+import java.util.Objects;
+import org.hickorymoor.domain.workload.EndKind;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.junit.jupiter.api.Test;
+
+final class ShardTest {
+
+  private static final long SEED = 11;
+
+  private final SimulatedCell cell = new SimulatedCell(SEED, 3, 4);
+
+  private String awaitCoordinator() {
+    cell.time.passUntil(20_000, () -> cell.coordinator() != null);
+    return Objects.requireNonNull(cell.coordinator());
+  }
+
+  private String anotherThan(String host) {
+    return cell.names().stream().filter(name -> !name.equals(host)).findFirst().orElseThrow();
+  }
+
+  @Test
+  void jobOfDependentStepsCompletesOnEveryHostsView() {
+    awaitCoordinator();
+    cell.submit("h1", "job", step(3, List.of(), false), step(2, List.of(0), false));
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 10_000)).isTrue();
+    assertThat(cell.workers.starts()).isEqualTo(5);
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void runsOnWorkerThatIsNoLongerListedStartAgainElsewhereAfterTakeover() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    final String first = awaitCoordinator();
+    cell.submit(anotherThan(first), "job", step(1, List.of(), true));
+    cell.time.passUntil(5_000, () -> cell.workers.running().contains("job.0.0.0"));
+    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+
+    cell.workers.get(worker).crash();
+    cell.workers.list(worker, false);
+    cell.kill(first);
+
+    assertThat(cell.time.passUntil(20_000, () -> cell.workers.running().contains("job.0.0.0")))
+        .isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void successorAdoptsWhatRunsAndStartsNothingTwice() {
+    cell.workers.durations(() -> 4_000L);
+    final String first = awaitCoordinator();
+    final String other = anotherThan(first);
+    cell.submit(other, "job", step(6, List.of(), false));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 6);
+
+    cell.kill(first);
+
+    assertThat(cell.awaitState(other, "job", WorkloadState.COMPLETED, 20_000)).isTrue();
+    assertThat(cell.workers.starts()).isEqualTo(6);
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void jobIsFailedOnlyAfterItsAttemptsAreUsedUp() {
+    cell.workers.outcomes((task, run, worker) -> EndKind.FAILED);
+    final String first = awaitCoordinator();
+    cell.submit(anotherThan(first), "job", step(1, List.of(), false));
+
+    assertThat(cell.awaitState("h0", "job", WorkloadState.FAILED, 20_000)).isTrue();
+    assertThat(cell.workers.starts()).isEqualTo(3);
+  }
+
+  @Test
+  void cancelledJobStopsAndStaysCancelledAfterTakeover() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    final String first = awaitCoordinator();
+    final String other = anotherThan(first);
+    cell.submit(other, "job", step(4, List.of(), true));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 4);
+
+    var cancelled = cell.shard(other).cancel("job", 2_000);
+    cell.time.passUntil(2_000, cancelled::isDone);
+    cell.kill(first);
+
+    assertThat(cell.time.passUntil(10_000, () -> cell.workers.running().isEmpty())).isTrue();
+    assertThat(cell.awaitState(other, "job", WorkloadState.CANCELLED, 10_000)).isTrue();
+  }
+
+  @Test
+  void frozenCoordinatorThatWakesAfterItsSuccessorChangesNothing() {
+    cell.workers.durations(() -> 9_000L);
+    final String first = awaitCoordinator();
+    final String other = anotherThan(first);
+    cell.submit(other, "job", step(6, List.of(), false));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 6);
+
+    cell.freeze(first, 5_000);
+
+    assertThat(cell.awaitState(other, "job", WorkloadState.COMPLETED, 40_000)).isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void hostThatStoreTurnsAwayHasPeerStoreForIt() {
+    final String first = awaitCoordinator();
+    final String other = anotherThan(first);
+    cell.time.pass(3_000);
+    cell.store.turnAway(other, true);
+
+    var stored = cell.submit(other, "job", step(1, List.of(), false));
+    cell.time.passUntil(3_000, stored::isDone);
+
+    assertThat(stored.join()).isEqualTo(Shard.Stored.YES);
+    assertThat(cell.awaitState(other, "job", WorkloadState.COMPLETED, 10_000)).isTrue();
+  }
+
+  @Test
+  void outageOfStoreShorterThanAuthorityEndsNoRun() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    final String first = awaitCoordinator();
+    cell.submit(anotherThan(first), "job", step(4, List.of(), true));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 4);
+
+    cell.store.silent(true);
+    cell.time.pass(9_000);
+    cell.store.silent(false);
+    cell.time.pass(5_000);
+
+    assertThat(cell.workers.running()).hasSize(4);
+    assertThat(cell.workers.starts()).isEqualTo(4);
+    assertThat(cell.coordinator()).isEqualTo(first);
+  }
+
+  @Test
+  void jobOnDrainingWorkerGetsNoNewRunThere() {
+    awaitCoordinator();
+    cell.workers.drain("w0");
+    cell.workers.drain("w1");
+    cell.workers.drain("w2");
+    cell.time.pass(1_500);
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    cell.submit("h0", "job", step(5, List.of(), true));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 5);
+
+    cell.workers.running().forEach(task -> assertThat(cell.workers.workerOf(task)).isEqualTo("w3"));
+  }
+
+  @Test
+  void workerThatComesBackWithNothingLosesOnlyItsOwnRuns() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    final String first = awaitCoordinator();
+    cell.submit(anotherThan(first), "job", step(8, List.of(), true));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 8);
+    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+
+    cell.workers.get(worker).crash();
+    cell.time.pass(300);
+    cell.workers.get(worker).restart();
+
+    assertThat(cell.time.passUntil(5_000, () -> cell.workers.running().size() == 8)).isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -0,0 +1,166 @@
+package org.hickorymoor.daemon.shard;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.peer.PeerReply;
+import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.daemon.port.AdvicePort;
+import org.hickorymoor.domain.workload.QueuePolicy;
+import org.hickorymoor.domain.workload.StepSpec;
+import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.WorkloadSpec;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.jspecify.annotations.Nullable;
+
+/** Hosts, a store and workers in virtual time. */
+final class SimulatedCell {
+
+  static final QueuePolicy POLICY = new QueuePolicy("queue", "pool", 0, 3, 1.5, 600, null);
+
+  private static final long LINK_MS = 2;
+
+  private static final class Host {
+    private final VirtualTime.HostLoop loop;
+    private final Shard shard;
+
+    Host(VirtualTime.HostLoop loop, Shard shard) {
+      this.loop = loop;
+      this.shard = shard;
+    }
+  }
+
+  final VirtualTime time;
+  final FakeStore store;
+  final FakeWorkers workers;
+  private final Map<String, Host> hosts = new LinkedHashMap<>();
+
+  SimulatedCell(long seed, int hostCount, int workerCount) {
+    time = new VirtualTime(seed);
+    store = new FakeStore(time);
+    workers = new FakeWorkers(time, store);
+    for (int i = 0; i < workerCount; i++) {
+      workers.add("w" + i);
+    }
+    for (int i = 0; i < hostCount; i++) {
+      boot("h" + i);
+    }
+  }
+
+  /** Starts a host that remembers nothing. */
+  void boot(String name) {
+    VirtualTime.HostLoop loop = time.new HostLoop();
+    ShardSettings settings = new ShardSettings(name, "d", name, 6_000);
+    AdvicePort advice = (step, ids, withinMs) -> new CompletableFuture<>();
+    Shard shard =
+        new Shard(
+            settings,
+            store.port(name),
+            workers.port(),
+            advice,
+            FakeWorkers::decode,
+            (address, request, timeoutMs) -> call(address, request, timeoutMs),
+            loop);
+    hosts.put(name, new Host(loop, shard));
+    shard.start();
+  }
+
+  private CompletableFuture<PeerReply> call(String address, PeerRequest request, long timeoutMs) {
+    CompletableFuture<PeerReply> future = new CompletableFuture<>();
+    time.after(
+        timeoutMs,
+        () -> future.completeExceptionally(new IllegalStateException("no answer from " + address)));
+    time.after(
+        LINK_MS,
+        () -> {
+          Host host = hosts.get(address);
+          if (host != null && !host.loop.isDead()) {
+            host.shard
+                .handle(request)
+                .thenAccept(reply -> time.after(LINK_MS, () -> future.complete(reply)));
+          }
+        });
+    return future;
+  }
+
+  void kill(String name) {
+    host(name).loop.kill();
+  }
+
+  void freeze(String name, long forMs) {
+    host(name).loop.freeze(forMs);
+  }
+
+  boolean isDead(String name) {
+    return host(name).loop.isDead();
+  }
+
+  Shard shard(String name) {
+    return host(name).shard;
+  }
+
+  private Host host(String name) {
+    return java.util.Objects.requireNonNull(hosts.get(name));
+  }
+
+  List<String> names() {
+    return List.copyOf(hosts.keySet());
+  }
+
+  /** Returns a host that coordinates, or null. */
+  @Nullable String coordinator() {
+    for (Map.Entry<String, Host> entry : hosts.entrySet()) {
+      if (!entry.getValue().loop.isDead() && entry.getValue().shard.isCoordinating()) {
+        return entry.getKey();
+      }
+    }
+    return null;
+  }
+
+  static StepSpec step(int count, List<Integer> after, boolean longRunning) {
+    return new StepSpec(
+        count,
+        1_000,
+        500,
+        0,
+        500,
+        after,
+        false,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        longRunning,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** Submits a job; the future tells whether it is stored. */
+  CompletableFuture<Shard.Stored> submit(String host, String jobId, StepSpec... steps) {
+    WorkloadSpec spec = new WorkloadSpec("payload", List.of(steps), 0, 0, 0);
+    return shard(host).submit(new Submission(jobId, host(host).loop.nowMs(), POLICY, spec), 2_800);
+  }
+
+  /** Asks a host about a job and lets time pass until it answers. */
+  Shard.JobAnswer ask(String host, String jobId) {
+    CompletableFuture<Shard.JobAnswer> answer = shard(host).state(jobId, 2_800);
+    time.passUntil(4_000, answer::isDone);
+    return answer.join();
+  }
+
+  boolean awaitState(String host, String jobId, WorkloadState state, long atMostMs) {
+    long endMs = time.nowMs() + atMostMs;
+    while (time.nowMs() < endMs) {
+      if (ask(host, jobId).state() == state) {
+        return true;
+      }
+      time.pass(100);
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/VirtualTime.java
@@ -0,0 +1,126 @@
+package org.hickorymoor.daemon.shard;
+
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Time that moves from one event to the next, so that a minute takes milliseconds. */
+final class VirtualTime {
+
+  private record Event(long atNs, long order, Runnable task) {}
+
+  private static final long UNIX_ORIGIN_MS = 1_700_000_000_000L;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          java.util.Comparator.comparingLong(Event::atNs).thenComparingLong(Event::order));
+  private final Random random;
+  private long nowNs;
+  private long order;
+
+  VirtualTime(long seed) {
+    random = new Random(seed);
+  }
+
+  Random random() {
+    return random;
+  }
+
+  long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(nowNs);
+  }
+
+  void after(long delayMs, Runnable task) {
+    events.add(new Event(nowNs + TimeUnit.MILLISECONDS.toNanos(delayMs), order++, task));
+  }
+
+  /** Lets time pass. */
+  void pass(long forMs) {
+    long endNs = nowNs + TimeUnit.MILLISECONDS.toNanos(forMs);
+    while (!events.isEmpty() && events.peek().atNs() <= endNs) {
+      step();
+    }
+    nowNs = endNs;
+  }
+
+  /** Lets time pass until something holds; returns whether it did within the time. */
+  boolean passUntil(long atMostMs, BooleanSupplier condition) {
+    long endNs = nowNs + TimeUnit.MILLISECONDS.toNanos(atMostMs);
+    while (!condition.getAsBoolean()) {
+      if (events.isEmpty() || events.peek().atNs() > endNs) {
+        nowNs = endNs;
+        return condition.getAsBoolean();
+      }
+      step();
+    }
+    return true;
+  }
+
+  private void step() {
+    Event next = events.remove();
+    nowNs = Math.max(nowNs, next.atNs());
+    next.task().run();
+  }
+
+  /** The loop of one host, which can be killed or frozen. */
+  final class HostLoop implements ShardLoop {
+    private boolean dead;
+    private long frozenUntilNs;
+
+    /** Drops all that the host would still do. */
+    void kill() {
+      dead = true;
+    }
+
+    /** Holds up all that the host does; its calls on the way go on. */
+    void freeze(long forMs) {
+      frozenUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(forMs);
+    }
+
+    boolean isDead() {
+      return dead;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      schedule(0, task);
+    }
+
+    @Override
+    public void schedule(long delayMs, Runnable task) {
+      after(delayMs, () -> run(task));
+    }
+
+    private void run(Runnable task) {
+      if (dead) {
+        return;
+      }
+      if (nowNs < frozenUntilNs) {
+        after(TimeUnit.NANOSECONDS.toMillis(frozenUntilNs - nowNs) + 1, () -> run(task));
+        return;
+      }
+      task.run();
+    }
+
+    @Override
+    public long nowNs() {
+      return nowNs;
+    }
+
+    @Override
+    public long nowMs() {
+      return UNIX_ORIGIN_MS + TimeUnit.NANOSECONDS.toMillis(nowNs);
+    }
+
+    @Override
+    public Random random() {
+      return random;
+    }
+
+    @Override
+    public void stop() {
+      dead = true;
+    }
+  }
+}
