Acknowledge ends of a worker's present life only

The numbers now count only right after a report of the same life, and only lists decide what is gone. Ruled out: late orders (they end with the worker's process), epochs, the ledger's order.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -145,6 +145,13 @@
   private boolean closed;
   private boolean reportInFlight;
   private boolean awaitsStore;
+
+  /**
+   * Whether the worker's present life was seen so lately that the numbers of its ends are its own.
+   * A number of a former life would make it forget ends that nobody has stored.
+   */
+  private boolean lifeIsKnown;
+
   private int failures;
   private long bornMs = -1;
   private long clockMs;
@@ -331,6 +338,7 @@
       return;
     }
     if (synced && placements.isEmpty() && seenUpTo == lastNumber) {
+      lifeIsKnown = false;
       return;
     }
     ask(synced && seenUpTo == lastNumber ? REPORT_WAIT_MS : 0);
@@ -344,7 +352,8 @@
     }
     long sentNs = loop.nowNs();
     loop.then(
-        port.hold(facts, untilMs, seenUpTo, fence, waitMs, waitMs + ORDER_TIMEOUT_MS),
+        port.hold(
+            facts, untilMs, lifeIsKnown ? seenUpTo : 0, fence, waitMs, waitMs + ORDER_TIMEOUT_MS),
         (report, failure) -> {
           reportInFlight = false;
           if (closed) {
@@ -381,6 +390,7 @@
 
   private void callFailed(@Nullable PlatformException failure) {
     failures++;
+    lifeIsKnown = false;
     if (failures == 1) {
       logger.atInfo().log(
           "worker: %s does not answer, %d runs there: %s",
@@ -421,10 +431,11 @@
       logger.atInfo().log("worker: %s answers again.", facts.id());
     }
     failures = 0;
+    lifeIsKnown = true;
     clockMs = report.clockMs();
     clockAtNs = loop.nowNs();
     if (bornMs >= 0 && report.bornMs() >= 0 && report.bornMs() != bornMs) {
-      onReborn(sentNs);
+      onReborn();
     }
     if (report.bornMs() >= 0) {
       bornMs = report.bornMs();
@@ -446,18 +457,14 @@
     }
   }
 
-  private void onReborn(long sentNs) {
+  private void onReborn() {
     logger.atInfo().log(
-        "worker: %s has begun a new life, %d runs lost.", facts.id(), placements.size());
+        "worker: %s has begun a new life, %d runs were there.", facts.id(), placements.size());
     lastNumber = 0;
     seenUpTo = 0;
     room.forgetFailures();
-    for (Placement placement : List.copyOf(placements.values())) {
-      if (placement.settled && placement.settledNs - sentNs <= 0) {
-        remove(placement);
-        listener.onGone(placement, "the worker has begun a new life");
-      }
-    }
+    // What the lists don't show is found vanished; a run may have started in the new life already.
+    placements.values().forEach(placement -> placement.stopSettled = false);
   }
 
   private Set<String> onRunning(List<Running> rows) {
@@ -529,10 +536,13 @@
 
   private void acknowledgeWhenStored(long number) {
     awaitsStore = true;
+    final long life = bornMs;
     listener.afterStored(
         () -> {
           awaitsStore = false;
-          seenUpTo = Math.max(seenUpTo, Math.min(number, lastNumber));
+          if (life == bornMs) {
+            seenUpTo = Math.max(seenUpTo, number);
+          }
           pump();
         });
     loop.schedule(RENEW_MS, this::renewWhileWaiting);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -28,6 +28,9 @@
     EndKind of(String task, int run, String worker);
   }
 
+  /** Prints what workers do: {@code -Dshard.trace=true}. */
+  private static final boolean TRACE = Boolean.getBoolean("shard.trace");
+
   private static final long LINK_MS = 3;
   private static final long MAX_LEASE_MS = 6_000;
   private static final int CPU_MILLIS = 16_000;
@@ -53,6 +56,7 @@
     private long fence;
     private long untilMs;
     private long lastNumber;
+    private long lapsedUpTo;
     private boolean up = true;
     private boolean cut;
     private double lateShare;
@@ -71,6 +75,7 @@
       closedRuns.clear();
       fence = 0;
       lastNumber = 0;
+      lapsedUpTo = 0;
       untilMs = 0;
     }
 
@@ -102,10 +107,8 @@
       running.remove(run.task);
       runningNow.remove(run.task);
       closedRuns.merge(run.task, run.number, Math::max);
+      trace(id + " ends " + run.task + " run " + run.number + " " + how);
       ended.add(new TaskWorkerPort.Ended(++lastNumber, run.task, run.number, how, ""));
-      if (how == EndKind.DONE) {
-        unseenDone.put(id + "/" + born + "/" + lastNumber, run.task);
-      }
     }
 
     private void lease(long untilMsAsked) {
@@ -115,6 +118,7 @@
 
     private void expire() {
       if (time.nowMs() > untilMs) {
+        lapsedUpTo = lastNumber;
         List.copyOf(running.values()).forEach(run -> end(run, EndKind.LAPSED));
       }
     }
@@ -144,6 +148,7 @@
         violations.add(order.task() + " starts again after its end was taken note of");
       }
       starts++;
+      trace(id + " starts " + order.task() + " run " + order.run() + " fence " + token);
       Run run = new Run(order.task(), order.run());
       running.put(order.task(), run);
       long tookMs = durationMs.get();
@@ -176,7 +181,9 @@
         lease(until);
       }
       for (TaskWorkerPort.Ended end : ended) {
-        if (end.number() <= seen && end.how() == EndKind.DONE) {
+        boolean noted = end.number() <= seen && end.number() > lapsedUpTo;
+        if (noted && end.how() == EndKind.DONE) {
+          trace(id + " forgets " + end.task() + " run " + end.run() + " fence " + token);
           seenDone.add(end.task());
         }
       }
@@ -201,7 +208,6 @@
   private final FakeStore store;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Map<String, String> runningNow = new HashMap<>();
-  private final Map<String, String> unseenDone = new HashMap<>();
   private final Set<String> seenDone = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private Outcomes outcomes = (task, run, worker) -> EndKind.DONE;
@@ -244,6 +250,12 @@
     durationMs = ms;
   }
 
+  private void trace(String what) {
+    if (TRACE) {
+      System.err.println("at " + time.nowMs() + ": " + what);
+    }
+  }
+
   List<String> violations() {
     return violations;
   }
@@ -290,10 +302,14 @@
               return;
             }
             if (order && time.random().nextDouble() < worker.lateShare) {
+              long receivedBy = worker.born;
               time.after(
                   2_000 + time.random().nextInt(8_000),
                   () -> {
-                    var unused = action.get();
+                    // An order that waits inside a worker ends with it.
+                    if (worker.born == receivedBy && worker.up) {
+                      var unused = action.get();
+                    }
                   });
               return;
             }
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardFaultsTest.java
@@ -0,0 +1,172 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.hickorymoor.daemon.shard.SimulatedCell.step;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.domain.workload.EndKind;
+import org.hickorymoor.domain.workload.StepSpec;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Random series of faults in virtual time; the workers check what is promised while it runs. */
+final class ShardFaultsTest {
+
+  private static final int SEEDS = 120;
+  private static final int HOSTS = 4;
+  private static final int WORKERS = 6;
+  private static final long FAULTS_FOR_MS = 40_000;
+  private static final long RECOVERY_MS = 60_000;
+
+  /** Plays one seed again: {@code -Dshard.seed=N}. */
+  private static final Long ONLY_SEED = Long.getLong("shard.seed");
+
+  static List<Long> seeds() {
+    if (ONLY_SEED != null) {
+      return List.of(ONLY_SEED);
+    }
+    List<Long> seeds = new ArrayList<>();
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      seeds.add(seed);
+    }
+    return seeds;
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void acceptedJobsEndOnceAndNothingRunsTwice(long seed) {
+    Run run = new Run(seed);
+    run.faults();
+    run.recover();
+    run.check();
+  }
+
+  /** One series. */
+  private static final class Run {
+    private final long seed;
+    private final Random random;
+    private final SimulatedCell cell;
+    private final Map<String, CompletableFuture<Shard.Stored>> submitted = new HashMap<>();
+    private final List<String> cancelled = new ArrayList<>();
+    private int jobs;
+
+    Run(long seed) {
+      this.seed = seed;
+      random = new Random(seed);
+      cell = new SimulatedCell(seed, HOSTS, WORKERS);
+      cell.workers.durations(() -> 100L + random.nextInt(3_000));
+      cell.workers.outcomes(
+          (task, number, worker) -> random.nextInt(12) == 0 ? EndKind.FAILED : EndKind.DONE);
+    }
+
+    private String anyHost() {
+      return "h" + random.nextInt(HOSTS);
+    }
+
+    void faults() {
+      while (cell.time.nowMs() < FAULTS_FOR_MS) {
+        cell.time.pass(50 + random.nextInt(250));
+        submit();
+        if (random.nextInt(6) == 0) {
+          fault();
+        }
+      }
+    }
+
+    private void submit() {
+      String host = anyHost();
+      if (cell.isDead(host)) {
+        return;
+      }
+      String id = String.format("job%04d", jobs++);
+      StepSpec first = step(1 + random.nextInt(4), List.of(), false);
+      StepSpec second = step(1 + random.nextInt(3), List.of(0), false);
+      submitted.put(id, cell.submit(host, id, first, second));
+      if (random.nextInt(10) == 0) {
+        cancelled.add(id);
+        cell.time.after(
+            random.nextInt(3_000),
+            () -> {
+              if (!cell.isDead(host)) {
+                var unused = cell.shard(host).cancel(id, 2_800);
+              }
+            });
+      }
+    }
+
+    private void fault() {
+      long forMs = 300 + random.nextInt(6_000);
+      String host = anyHost();
+      FakeWorkers.Worker worker = cell.workers.get("w" + random.nextInt(WORKERS));
+      switch (random.nextInt(9)) {
+        case 0 -> {
+          if (!cell.isDead(host)) {
+            cell.kill(host);
+            cell.time.after(forMs, () -> cell.boot(host));
+          }
+        }
+        case 1 -> cell.freeze(host, forMs);
+        case 2 -> {
+          cell.store.silent(true);
+          cell.time.after(forMs, () -> cell.store.silent(false));
+        }
+        case 3 -> {
+          cell.store.turnAway(host, true);
+          cell.time.after(forMs, () -> cell.store.turnAway(host, false));
+        }
+        case 4 -> {
+          cell.store.loseAnswers(0.3, random.nextDouble());
+          cell.time.after(forMs, () -> cell.store.loseAnswers(0, 0));
+        }
+        case 5 -> {
+          worker.crash();
+          cell.time.after(forMs, worker::restart);
+        }
+        case 6 -> {
+          worker.cut(true);
+          cell.time.after(forMs, () -> worker.cut(false));
+        }
+        case 7 -> {
+          worker.late(0.3);
+          worker.dropAnswers(0.2);
+          cell.time.after(
+              forMs,
+              () -> {
+                worker.late(0);
+                worker.dropAnswers(0);
+              });
+        }
+        default -> cell.store.compact();
+      }
+    }
+
+    void recover() {
+      cell.time.pass(RECOVERY_MS);
+    }
+
+    void check() {
+      assertWithMessage("seed %s", seed).that(cell.workers.violations()).isEmpty();
+      submitted.forEach(
+          (id, stored) -> {
+            if (stored.isDone() && stored.join() == Shard.Stored.YES) {
+              Shard.JobAnswer answer = cell.ask("h0", id);
+              assertWithMessage("seed %s, %s answered", seed, id).that(answer.answered()).isTrue();
+              WorkloadState state = answer.state();
+              assertWithMessage("seed %s, %s known", seed, id).that(state).isNotNull();
+              assertWithMessage("seed %s, %s is %s", seed, id, state)
+                  .that(state != null && state.isFinal())
+                  .isTrue();
+              assertWithMessage("seed %s, %s cancelled by nobody", seed, id)
+                  .that(state == WorkloadState.CANCELLED && !cancelled.contains(id))
+                  .isFalse();
+            }
+          });
+    }
+  }
+}
