Refuse at once what was never sent to a store that does not answer

After an append without an answer only probes go out; a request that neither this host nor two peers can store is refused at once, one in doubt is tried until its time is up. ShardTest has both cases. Messages to peers carry bytes as buffers, which compare by content.

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.peer;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.RequestKey;
@@ -118,7 +119,7 @@
    * @param key key of the record
    * @param value content of the record
    */
-  record RelaySubmission(String key, byte[] value) implements PeerRequest {}
+  record RelaySubmission(String key, ByteBuffer value) implements PeerRequest {}
 
   /**
    * Asks the coordinator how far a job is; answered by {@link PeerReply.WorkloadReply}.
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.daemon.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.hickorymoor.daemon.peer.PeerRequest.AskApproval;
 import org.hickorymoor.daemon.peer.PeerRequest.CancelJob;
 import org.hickorymoor.daemon.peer.PeerRequest.DrainWorker;
@@ -68,12 +69,14 @@
 
   private static void writeRelay(MessagePacker out, RelaySubmission relay) throws IOException {
     out.packString(relay.key());
-    out.packBinaryHeader(relay.value().length);
-    out.writePayload(relay.value());
+    byte[] value = Bytes.of(relay.value());
+    out.packBinaryHeader(value.length);
+    out.writePayload(value);
   }
 
   private static RelaySubmission readRelay(MessageUnpacker in) throws IOException {
-    return new RelaySubmission(in.unpackString(), in.readPayload(in.unpackBinaryHeader()));
+    return new RelaySubmission(
+        in.unpackString(), ByteBuffer.wrap(in.readPayload(in.unpackBinaryHeader())));
   }
 
   private static void writeAsk(MessagePacker out, AskApproval ask) throws IOException {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
@@ -32,6 +32,11 @@
     this.addresses = List.of(settings.peerAddress());
   }
 
+  /** Returns the record of this host, which may be written again at any time. */
+  Entry record() {
+    return new Entry(settings.hostId(), settings.peerAddress().getBytes(UTF_8));
+  }
+
   void start() {
     loop.execute(this::register);
   }
@@ -39,7 +44,7 @@
   /** Takes this host off the list. */
   void stop() {
     stopped = true;
-    write(new byte[0]);
+    var unused = write(new Entry(settings.hostId(), new byte[0]));
   }
 
   /** Returns where the hosts can be reached, this one included. */
@@ -52,7 +57,7 @@
       return;
     }
     loop.then(
-        write(settings.peerAddress().getBytes(UTF_8)),
+        write(record()),
         (offset, failure) -> {
           registered = failure == null;
           if (registered) {
@@ -64,10 +69,10 @@
         });
   }
 
-  private CompletableFuture<Long> write(byte[] value) {
+  private CompletableFuture<Long> write(Entry entry) {
     return log.append(
         LogPart.HOSTS,
-        List.of(new Entry(settings.hostId(), value)),
+        List.of(entry),
         null,
         KeyedLogPort.ANY_OFFSET,
         ShardSettings.STORE_TIMEOUT_MS);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -3,10 +3,12 @@
 import static java.util.concurrent.CompletableFuture.completedFuture;
 
 import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.hickorymoor.daemon.peer.Bytes;
 import org.hickorymoor.daemon.peer.PeerErrorType;
 import org.hickorymoor.daemon.peer.PeerHandler;
 import org.hickorymoor.daemon.peer.PeerReply;
@@ -36,8 +38,8 @@
   /** A lost answer of the store is noticed within this time, so that callers wait less. */
   private static final long APPEND_TIMEOUT_MS = 600;
 
-  /** Longest time to keep trying to store a caller's request. */
-  private static final long STORE_WITHIN_MS = 1_500;
+  /** Peers asked to append for this host before a request is refused. */
+  private static final int MAX_PEERS = 2;
 
   private static final long RETRY_MS = 60;
 
@@ -105,8 +107,8 @@
     this.decoder = decoder;
     this.peers = peers;
 
-    this.submissions = new SubmissionLog(loop, log);
     this.hosts = new HostRegistry(loop, log, settings);
+    this.submissions = new SubmissionLog(loop, log, hosts.record());
     this.ownership = new Ownership(loop, log, settings, new Roles());
   }
 
@@ -166,18 +168,25 @@
   }
 
   private CompletableFuture<Stored> store(String key, byte[] value, long withinMs) {
-    Attempt attempt = new Attempt(key, value, Math.min(withinMs, STORE_WITHIN_MS));
+    Attempt attempt = new Attempt(key, value, withinMs);
     attempt.viaStore();
     return attempt.result;
   }
 
-  /** Tries to store one record, in turn here and through peers. */
+  /**
+   * Tries to store one record, in turn here and through peers.
+   *
+   * <p>A record that was certainly not stored is given up as soon as neither this host nor peers
+   * reach the store. One that may be stored is tried until time is up, as only an answer settles
+   * it.
+   */
   private final class Attempt {
     private final CompletableFuture<Stored> result = new CompletableFuture<>();
     private final String key;
     private final byte[] value;
     private final long endNs;
     private boolean uncertain;
+    private int peersAsked;
 
     Attempt(String key, byte[] value, long withinMs) {
       this.key = key;
@@ -207,14 +216,15 @@
 
     private void viaPeer() {
       String peer = anyPeer();
+      peersAsked++;
       if (peer == null) {
-        loop.schedule(RETRY_MS, this::viaStore);
+        again();
         return;
       }
       long timeoutMs = Math.max(1, Math.min(APPEND_TIMEOUT_MS, leftMs()));
       var unused =
           peers
-              .call(peer, new PeerRequest.RelaySubmission(key, value), timeoutMs)
+              .call(peer, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs)
               .whenComplete((reply, failure) -> loop.execute(() -> onRelayed(reply)));
     }
 
@@ -225,17 +235,22 @@
       }
       // Without an answer the peer may have stored it.
       uncertain |= !(reply instanceof PeerReply.Refused refused && isClean(refused.type()));
+      again();
+    }
+
+    private void again() {
       if (!finished()) {
         loop.schedule(RETRY_MS, this::viaStore);
       }
     }
 
     private boolean finished() {
-      if (leftMs() > RETRY_MS) {
+      boolean hopeless = !uncertain && peersAsked >= MAX_PEERS;
+      if (leftMs() > RETRY_MS && !hopeless) {
         return false;
       }
       logger.atInfo().log(
-          "submissions: Record %s not stored in time, %s.",
+          "submissions: Record %s not stored, %s.",
           key, uncertain ? "but may be later" : "and never will be");
       result.complete(uncertain ? Stored.UNKNOWN : Stored.NO);
       return true;
@@ -365,7 +380,7 @@
   public CompletableFuture<PeerReply> handle(PeerRequest request) {
     if (request instanceof PeerRequest.RelaySubmission relay) {
       return submissions
-          .append(relay.key(), relay.value(), APPEND_TIMEOUT_MS)
+          .append(relay.key(), Bytes.of(relay.value()), APPEND_TIMEOUT_MS)
           .handle((done, failure) -> relayed(ShardLoop.unwrap(failure)));
     }
     if (request instanceof PeerRequest.AskApproval ask) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
@@ -13,8 +13,9 @@
 /**
  * Appends accepted jobs and cancellations, those that come while an append is on its way together.
  *
- * <p>Records are keyed by job, so that an append that is sent twice stores nothing twice. Safe for
- * use by several threads.
+ * <p>Records are keyed by job, so that an append that is sent twice stores nothing twice. After an
+ * append without an answer nothing more is sent until a probe is answered: what was never sent can
+ * be refused at once and truthfully. Safe for use by several threads.
  */
 final class SubmissionLog {
 
@@ -26,17 +27,34 @@
   /** Keeps an append below the store's limit of 2 MB. */
   private static final int MAX_BATCH_BYTES = 1_000_000;
 
+  /** Pace of the probes while the store does not answer. */
+  private static final long PROBE_MS = 150;
+
+  /** A probe without an answer after this time is followed by the next. */
+  private static final long PROBE_TIMEOUT_MS = 400;
+
+  private static final PlatformException OUT =
+      new PlatformException(
+          PlatformException.Type.REFUSED, "not sent, as the store does not answer");
+
   private record Pending(Entry entry, CompletableFuture<Void> stored) {}
 
   private final ShardLoop loop;
   private final KeyedLogPort log;
+  private final Entry probe;
   private List<Pending> queue = new ArrayList<>();
   private int inFlight;
   private boolean out;
 
-  SubmissionLog(ShardLoop loop, KeyedLogPort log) {
+  /**
+   * Makes a log.
+   *
+   * @param probe a record of {@link LogPart#HOSTS} that may be written again at any time
+   */
+  SubmissionLog(ShardLoop loop, KeyedLogPort log, Entry probe) {
     this.loop = loop;
     this.log = log;
+    this.probe = probe;
   }
 
   /**
@@ -51,6 +69,10 @@
     Pending pending = new Pending(new Entry(key, value), new CompletableFuture<>());
     loop.execute(
         () -> {
+          if (out) {
+            pending.stored().completeExceptionally(OUT);
+            return;
+          }
           queue.add(pending);
           flush(timeoutMs);
         });
@@ -88,11 +110,26 @@
   }
 
   private void report(@Nullable PlatformException failure) {
-    if (out != (failure != null)) {
-      out = failure != null;
-      logger.atInfo().log(
-          "submissions: Store %s.",
-          failure == null ? "answers again" : "does not answer: " + failure.getMessage());
+    if (failure == null || out) {
+      return;
     }
+    out = true;
+    logger.atInfo().log("submissions: Store does not answer: %s", failure.getMessage());
+    queue.forEach(pending -> pending.stored().completeExceptionally(OUT));
+    queue = new ArrayList<>();
+    loop.schedule(PROBE_MS, this::probe);
+  }
+
+  private void probe() {
+    loop.then(
+        log.append(LogPart.HOSTS, List.of(probe), null, KeyedLogPort.ANY_OFFSET, PROBE_TIMEOUT_MS),
+        (offset, failure) -> {
+          if (failure != null) {
+            loop.schedule(PROBE_MS, this::probe);
+            return;
+          }
+          out = false;
+          logger.atInfo().log("submissions: Store answers again.");
+        });
   }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/peer/RandomRecords.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/peer/RandomRecords.java
@@ -6,6 +6,7 @@
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -66,6 +67,11 @@
     if (type == boolean.class) {
       return random.nextBoolean();
     }
+    if (type == ByteBuffer.class) {
+      byte[] bytes = new byte[random.nextInt(300)];
+      random.nextBytes(bytes);
+      return ByteBuffer.wrap(bytes);
+    }
     if (type instanceof ParameterizedType list) {
       return listOf(list.getActualTypeArguments()[0]);
     }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -166,4 +166,37 @@
     assertThat(cell.time.passUntil(5_000, () -> cell.workers.running().size() == 8)).isTrue();
     assertThat(cell.workers.violations()).isEmpty();
   }
+
+  @Test
+  void jobThatStoreCertainlyDoesNotHoldIsRefusedAtOnceAndNeverRuns() {
+    final String first = awaitCoordinator();
+    final String other = anotherThan(first);
+    cell.time.pass(3_000);
+    cell.store.silent(true);
+    cell.submit(other, "early", step(1, List.of(), false));
+    cell.submit(first, "early2", step(1, List.of(), false));
+    cell.submit("h2", "early3", step(1, List.of(), false));
+    cell.time.pass(1_000);
+
+    var late = cell.submit(other, "late", step(1, List.of(), false));
+
+    assertThat(cell.time.passUntil(500, late::isDone)).isTrue();
+    assertThat(late.join()).isEqualTo(Shard.Stored.NO);
+    cell.store.silent(false);
+    cell.time.pass(10_000);
+    assertThat(cell.ask(other, "late").state()).isNull();
+  }
+
+  @Test
+  void jobWhoseStorageIsInDoubtIsStoredOnceStoreIsBackInTime() {
+    final String first = awaitCoordinator();
+    cell.time.pass(3_000);
+    cell.store.silent(true);
+    var stored = cell.submit(anotherThan(first), "job", step(1, List.of(), false));
+    cell.time.pass(1_500);
+    cell.store.silent(false);
+
+    assertThat(cell.time.passUntil(2_000, stored::isDone)).isTrue();
+    assertThat(stored.join()).isEqualTo(Shard.Stored.YES);
+  }
 }
