--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
@@ -66,14 +66,16 @@
       Comparator.comparingInt(Ask::priority).thenComparingLong(Ask::dueMs);
 
   private final ShardLoop loop;
+  private final ShardMetrics metrics;
   private final Caller caller;
   private final Supplier<List<String>> hosts;
   private final List<Ask> queue = new ArrayList<>();
   private final Map<String, Long> busyUntilNs = new HashMap<>();
   private boolean closed;
 
-  AdviceDesk(ShardLoop loop, Caller caller, Supplier<List<String>> hosts) {
+  AdviceDesk(ShardLoop loop, Caller caller, Supplier<List<String>> hosts, ShardMetrics metrics) {
     this.loop = loop;
+    this.metrics = metrics;
     this.caller = caller;
     this.hosts = hosts;
   }
@@ -137,6 +139,7 @@
     if (closed) {
       return;
     }
+    metrics.advised(approvals != null, loop.nowNs() - sentNs);
     if (approvals == null) {
       logger.atInfo().log(
           "advice: No answer for %s through %s: %s",
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
@@ -32,6 +32,7 @@
   private static final String EPOCH_KEY = "epoch";
 
   private final ShardLoop loop;
+  private final ShardMetrics metrics;
   private final KeyedLogPort log;
   private final String writerName;
   private final long epoch;
@@ -43,8 +44,15 @@
   private boolean closed;
   private @Nullable PlatformException outage;
 
-  LedgerWriter(ShardLoop loop, KeyedLogPort log, String writerName, long epoch, Runnable onFenced) {
+  LedgerWriter(
+      ShardLoop loop,
+      KeyedLogPort log,
+      String writerName,
+      long epoch,
+      ShardMetrics metrics,
+      Runnable onFenced) {
     this.loop = loop;
+    this.metrics = metrics;
     this.log = log;
     this.writerName = writerName;
     this.epoch = epoch;
@@ -117,10 +125,16 @@
 
   private void send(List<Entry> batch, List<Runnable> stored) {
     Writer writer = new Writer(writerName, epoch, sequence);
+    final long sentNs = loop.nowNs();
     loop.then(
         log.append(
             LogPart.LEDGER, batch, writer, KeyedLogPort.ANY_OFFSET, ShardSettings.STORE_TIMEOUT_MS),
-        (offset, failure) -> answered(batch, stored, failure));
+        (offset, failure) -> {
+          if (failure == null) {
+            metrics.ledgerStored(loop.nowNs() - sentNs);
+          }
+          answered(batch, stored, failure);
+        });
   }
 
   private void answered(
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -68,6 +68,7 @@
   public record JobAnswer(boolean answered, @Nullable WorkloadState state) {}
 
   private final ShardLoop loop;
+  private final ShardMetrics metrics;
   private final ShardSettings settings;
   private final KeyedLogPort log;
   private final TaskWorkerPort workers;
@@ -90,6 +91,7 @@
    * @param decoder reads the list of workers
    * @param peers calls other hosts
    * @param loop the thread that the shard belongs to; stopped with the shard
+   * @param metrics where events are counted
    */
   public Shard(
       ShardSettings settings,
@@ -98,8 +100,10 @@
       AdvicePort advice,
       WorkerRecordDecoder decoder,
       PeerPort peers,
-      ShardLoop loop) {
+      ShardLoop loop,
+      ShardMetrics metrics) {
     this.loop = loop;
+    this.metrics = metrics;
     this.settings = settings;
     this.log = log;
     this.workers = workers;
@@ -169,8 +173,10 @@
 
   private CompletableFuture<Stored> store(String key, byte[] value, long withinMs) {
     Attempt attempt = new Attempt(key, value, withinMs);
+    final long beganNs = loop.nowNs();
     attempt.viaStore();
-    return attempt.result;
+    return attempt.result.whenComplete(
+        (stored, failure) -> metrics.stored(stored, loop.nowNs() - beganNs));
   }
 
   /**
@@ -283,6 +289,7 @@
         new PeerRequest.GetWorkload(jobId),
         endNs,
         reply -> {
+          metrics.asked(reply != null);
           if (!(reply instanceof PeerReply.WorkloadReply known)) {
             result.complete(new JobAnswer(false, null));
             return;
@@ -307,8 +314,10 @@
     ask(
         new PeerRequest.GetQueueDepth(queue),
         endNs,
-        reply ->
-            result.complete(reply instanceof PeerReply.DepthReply depth ? depth.waiting() : -1));
+        reply -> {
+          metrics.asked(reply != null);
+          result.complete(reply instanceof PeerReply.DepthReply depth ? depth.waiting() : -1);
+        });
     return result;
   }
 
@@ -446,7 +455,8 @@
               self.epoch(),
               ownership::authorityEndsNs,
               new WorkerCatalog(loop, log, decoder),
-              new AdviceDesk(loop, Shard.this::askThrough, hosts::addresses),
+              new AdviceDesk(loop, Shard.this::askThrough, hosts::addresses, metrics),
+              metrics,
               ownership::giveUp);
       owner = starting;
       starting.start();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -98,6 +98,7 @@
   private record Ticket(String text, long endsNs) {}
 
   private final ShardLoop loop;
+  private final ShardMetrics metrics;
   private final KeyedLogPort log;
   private final TaskWorkerPort workerPort;
   private final ShardSettings settings;
@@ -131,8 +132,10 @@
       Supplier<Long> authorityEndsNs,
       WorkerCatalog catalog,
       AdviceDesk advice,
+      ShardMetrics metrics,
       Consumer<String> onSuperseded) {
     this.loop = loop;
+    this.metrics = metrics;
     this.electedNs = loop.nowNs();
     this.log = log;
     this.workerPort = workerPort;
@@ -144,7 +147,12 @@
     this.onSuperseded = onSuperseded;
     this.ledger =
         new LedgerWriter(
-            loop, log, WRITER, epoch, () -> onSuperseded.accept("the ledger has a newer epoch"));
+            loop,
+            log,
+            WRITER,
+            epoch,
+            metrics,
+            () -> onSuperseded.accept("the ledger has a newer epoch"));
   }
 
   /** Takes over from whoever coordinated before. */
@@ -209,6 +217,7 @@
   }
 
   private void beginWork() {
+    metrics.tookOver(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs));
     progressRecords.forEach(this::rememberEnded);
     progressRecords = Map.of();
     ready = true;
@@ -450,6 +459,7 @@
     Job job = jobs.get(placement.slot().id().jobId());
     if (job != null && job.progress.state() == WorkloadState.QUEUED) {
       job.progress.markRunning();
+      metrics.firstStart(loop.nowMs() - job.progress.submission().acceptedAtMs());
       logger.atInfo().log(
           "job: %s runs, first on %s, %d ms after it was accepted.",
           job.id(),
@@ -462,6 +472,7 @@
   @Override
   public void onNotStarted(Placement placement, Outcome outcome) {
     TaskSlot slot = placement.slot();
+    metrics.notStarted(outcome);
     logger.atInfo().log(
         "task: %s run %d not started on %s: %s.",
         slot.id(), placement.run(), placement.room().facts().id(), outcome);
@@ -485,6 +496,7 @@
   public void onEnded(Placement placement, EndKind how, String checkpoint) {
     TaskSlot slot = placement.slot();
     WorkerRoom room = placement.room();
+    metrics.ended(how);
     if (how == EndKind.FAILED) {
       room.learnFailure();
       if (room.isSick()) {
@@ -503,6 +515,7 @@
 
   @Override
   public void onGone(Placement placement, String reason) {
+    metrics.gone();
     TaskSlot slot = placement.slot();
     Job job = jobs.get(slot.id().jobId());
     if (job != null && slot.run() == placement.run()) {
@@ -518,6 +531,7 @@
     job.progress.end(placement.slot(), how, checkpoint);
     WorkloadState after = job.progress.state();
     if (before != after) {
+      metrics.jobEnded(after);
       logger.atInfo().log(
           "job: %s %s, %d ms after it was accepted, last run %s %s.",
           job.id(),
@@ -798,6 +812,7 @@
       return;
     }
     String payload = job.progress.submission().spec().payload();
+    metrics.started();
     session.start(placement, payload, ticket == null ? null : ticket.text());
   }
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -61,7 +61,8 @@
             advice,
             FakeWorkers::decode,
             (address, request, timeoutMs) -> call(address, request, timeoutMs),
-            loop);
+            loop,
+            new ShardMetrics(new com.codahale.metrics.MetricRegistry()));
     hosts.put(name, new Host(loop, shard));
     shard.start();
   }
