Append submissions in four lanes; claim at once after a restart of all; split the coordinator

Hosts now share four lanes with two appends in flight each and a limit of 1 s. After a restart of everything the host that coordinated before claims without waiting for the silence. Slow decisions are limited by number, so that hosts that are gone don't hold them up.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/LogPart.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/LogPart.java
@@ -1,9 +1,17 @@
 package org.hickorymoor.daemon.port;
 
+import java.util.List;
+
 /** The streams of keyed records that a cell of hosts shares through the platform's store. */
 public enum LogPart {
-  /** Jobs as accepted and cancellations, written by every host. */
-  SUBMISSIONS,
+  /** Jobs as accepted and cancellations, written by every host; the first of several lanes. */
+  SUBMISSIONS_0,
+  /** The second lane of submissions. */
+  SUBMISSIONS_1,
+  /** The third lane of submissions. */
+  SUBMISSIONS_2,
+  /** The fourth lane of submissions. */
+  SUBMISSIONS_3,
   /** How far jobs are, written by the coordinator alone. */
   LEDGER,
   /** Which host coordinates, renewed by its heartbeats. */
@@ -13,5 +21,16 @@
   /** Configuration, written by operators. */
   CONFIG,
   /** What workers say of themselves. */
-  WORKERS
+  WORKERS;
+
+  private static final List<LogPart> LANES =
+      List.of(SUBMISSIONS_0, SUBMISSIONS_1, SUBMISSIONS_2, SUBMISSIONS_3);
+
+  /**
+   * Returns the lanes of submissions. The store appends to each on its own, so that hosts on
+   * different lanes don't wait for each other when it is slow.
+   */
+  public static List<LogPart> submissionLanes() {
+    return LANES;
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.AdvicePort.Approval;
 import org.hickorymoor.daemon.port.PlatformException;
@@ -46,7 +46,7 @@
       int priority,
       long dueMs,
       long expectedMs,
-      BiConsumer<@Nullable List<Approval>, Long> handler) {}
+      Consumer<@Nullable List<Approval>> handler) {}
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -59,9 +59,11 @@
   /** Covers two slow links and a busy host on top of the decision itself. */
   private static final long MARGIN_MS = 800;
 
-  /** How long a host that did not answer is left alone. */
+  /** How long a host that did not answer is left alone, doubled with each further failure. */
   private static final long HOST_PAUSE_MS = 2_000;
 
+  private static final int MAX_DOUBLINGS = 3;
+
   private static final Comparator<Ask> ORDER =
       Comparator.comparingInt(Ask::priority).thenComparingLong(Ask::dueMs);
 
@@ -71,6 +73,8 @@
   private final Supplier<List<String>> hosts;
   private final List<Ask> queue = new ArrayList<>();
   private final Map<String, Long> busyUntilNs = new HashMap<>();
+  private final Map<String, Integer> failuresInRow = new HashMap<>();
+  private int slowInFlight;
   private boolean closed;
 
   AdviceDesk(ShardLoop loop, Caller caller, Supplier<List<String>> hosts, ShardMetrics metrics) {
@@ -96,12 +100,12 @@
       return;
     }
     List<String> free = freeHosts();
-    int reserve = Math.max(1, hosts.get().size() / FREE_SHARE);
+    int total = hosts.get().size();
+    int maxSlow = Math.max(1, total - Math.max(1, total / FREE_SHARE));
     var asks = queue.iterator();
     while (asks.hasNext() && !free.isEmpty()) {
       Ask ask = asks.next();
-      boolean slow = ask.expectedMs() > SLOW_MS;
-      if (slow && free.size() <= reserve && hosts.get().size() > 1) {
+      if (isSlow(ask) && slowInFlight >= maxSlow) {
         continue;
       }
       asks.remove();
@@ -109,6 +113,11 @@
     }
   }
 
+  private static boolean isSlow(Ask ask) {
+    return ask.expectedMs() > SLOW_MS;
+  }
+
+  /** Returns the hosts without a call, those that answered last time first. */
   private List<String> freeHosts() {
     long nowNs = loop.nowNs();
     List<String> free = new ArrayList<>();
@@ -118,12 +127,14 @@
         free.add(host);
       }
     }
+    free.sort(Comparator.comparingInt(host -> failuresInRow.getOrDefault(host, 0)));
     return free;
   }
 
   private void send(String host, Ask ask) {
     long withinMs = ask.expectedMs() * 2 + MARGIN_MS;
     long sentNs = loop.nowNs();
+    slowInFlight += isSlow(ask) ? 1 : 0;
     busyUntilNs.put(host, sentNs + TimeUnit.MILLISECONDS.toNanos(withinMs * 2));
     loop.then(
         caller.ask(host, ask.step(), ask.workerIds(), withinMs),
@@ -139,17 +150,21 @@
     if (closed) {
       return;
     }
+    slowInFlight -= isSlow(ask) ? 1 : 0;
     metrics.advised(approvals != null, loop.nowNs() - sentNs);
     if (approvals == null) {
       logger.atInfo().log(
           "advice: No answer for %s through %s: %s",
           ask.step(), host, failure == null ? "no reason" : failure.getMessage());
-      busyUntilNs.put(host, loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(HOST_PAUSE_MS));
-      loop.schedule(HOST_PAUSE_MS + 1, this::dispatch);
+      int failures = failuresInRow.merge(host, 1, Integer::sum);
+      long pauseMs = HOST_PAUSE_MS << Math.min(failures - 1, MAX_DOUBLINGS);
+      busyUntilNs.put(host, loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(pauseMs));
+      loop.schedule(pauseMs + 1, this::dispatch);
     } else {
       busyUntilNs.remove(host);
+      failuresInRow.remove(host);
     }
-    ask.handler().accept(approvals, sentNs);
+    ask.handler().accept(approvals);
     dispatch();
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Intake.java
@@ -0,0 +1,112 @@
+package org.hickorymoor.daemon.shard;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.KeyedLogPort.Chunk;
+import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
+import org.hickorymoor.daemon.port.LogPart;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads one lane of the submissions: all that is kept, then whatever follows. A record may be
+ * handed over more than once. Belongs to the thread of the loop.
+ */
+final class Intake {
+
+  /** Longest wait for new submissions in one read. */
+  private static final long WAIT_MS = 1_000;
+
+  /** Answers about unknown jobs need a look at the submissions that is no older than this. */
+  private static final long FRESH_MS = 2_500;
+
+  private static final long NS_PER_MS = 1_000_000;
+
+  private final ShardLoop loop;
+  private final KeyedLogPort log;
+  private final LogPart lane;
+  private final Consumer<Stored> sink;
+  private long nextOffset;
+  private long readAtNs;
+  private boolean closed;
+
+  Intake(ShardLoop loop, KeyedLogPort log, LogPart lane, Consumer<Stored> sink) {
+    this.loop = loop;
+    this.log = log;
+    this.lane = lane;
+    this.sink = sink;
+  }
+
+  /** Reads what is kept, runs a task, and goes on to follow. */
+  void start(Runnable loaded) {
+    load(
+        null,
+        () -> {
+          loaded.run();
+          follow();
+        });
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** Returns whether a job that was not seen here is not in this lane. */
+  boolean isFresh() {
+    return loop.nowNs() - readAtNs < FRESH_MS * NS_PER_MS;
+  }
+
+  private void load(@Nullable String after, Runnable then) {
+    loop.then(
+        log.newest(lane, after, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          if (closed) {
+            return;
+          }
+          if (page == null) {
+            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> load(after, then));
+            return;
+          }
+          if (after == null) {
+            nextOffset = page.endOffset();
+          }
+          List<Stored> records = page.records();
+          records.forEach(sink);
+          if (page.hasMore() && !records.isEmpty()) {
+            load(records.get(records.size() - 1).key(), then);
+          } else {
+            readAtNs = loop.nowNs();
+            then.run();
+          }
+        });
+  }
+
+  private void follow() {
+    if (!closed) {
+      loop.then(
+          log.read(lane, nextOffset, WAIT_MS, WAIT_MS + ShardSettings.STORE_TIMEOUT_MS),
+          this::onRead);
+    }
+  }
+
+  private void onRead(@Nullable Chunk chunk, @Nullable PlatformException failure) {
+    if (closed) {
+      return;
+    }
+    if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
+      load(null, this::follow);
+      return;
+    }
+    if (chunk == null) {
+      loop.schedule(ShardSettings.STORE_RETRY_MS, this::follow);
+      return;
+    }
+    readAtNs = loop.nowNs();
+    for (Stored stored : chunk.records()) {
+      sink.accept(stored);
+      nextOffset = stored.offset() + 1;
+    }
+    follow();
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
@@ -55,6 +55,7 @@
   private boolean beating;
   private long confirmedNs;
   private boolean candidate = true;
+  private boolean firstLook = true;
   private boolean stopped;
   private boolean storeOut;
 
@@ -135,7 +136,11 @@
     storeAnswered();
     nextOffset = page.endOffset();
     page.records().forEach(this::hear);
-    if (current == null) {
+    Coordinator heard = current;
+    boolean former = firstLook && heard != null && heard.hostId().equals(settings.hostId());
+    firstLook = false;
+    if (heard == null || former) {
+      // This host coordinated in a former life, so nobody does now.
       claimSoon();
     } else {
       follow();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -16,6 +16,7 @@
 import org.hickorymoor.daemon.port.AdvicePort;
 import org.hickorymoor.daemon.port.AdvicePort.Approval;
 import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.LogPart;
 import org.hickorymoor.daemon.port.PeerPort;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
@@ -35,8 +36,10 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** A lost answer of the store is noticed within this time, so that callers wait less. */
-  private static final long APPEND_TIMEOUT_MS = 600;
+  /**
+   * A store that is slow by a factor of 60 answers within this time; one that lost an answer never.
+   */
+  private static final long APPEND_TIMEOUT_MS = 1_000;
 
   /** Peers asked to append for this host before a request is refused. */
   private static final int MAX_PEERS = 2;
@@ -112,10 +115,15 @@
     this.peers = peers;
 
     this.hosts = new HostRegistry(loop, log, settings);
-    this.submissions = new SubmissionLog(loop, log, hosts.record());
+    this.submissions = new SubmissionLog(loop, log, lane(settings.hostId()), hosts.record());
     this.ownership = new Ownership(loop, log, settings, new Roles());
   }
 
+  private static LogPart lane(String hostId) {
+    List<LogPart> lanes = LogPart.submissionLanes();
+    return lanes.get(Math.floorMod(hostId.hashCode(), lanes.size()));
+  }
+
   /** Joins the cell. */
   public void start() {
     hosts.start();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -15,7 +15,6 @@
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
 import org.hickorymoor.daemon.port.LogPart;
-import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
 import org.hickorymoor.daemon.shard.WorkerSession.Placement;
@@ -45,9 +44,6 @@
   /** Name under which the ledger is written. */
   private static final String WRITER = "coordinator";
 
-  /** Longest wait for new submissions in one read. */
-  private static final long INTAKE_WAIT_MS = 1_000;
-
   /** Decisions are made at most this often, so that one pass serves many events. */
   private static final long PASS_MS = 4;
 
@@ -60,18 +56,9 @@
   /** A task whose start was refused waits before it is placed again. */
   private static final long PAUSE_AFTER_REFUSAL_MS = 100;
 
-  /** Most workers to ask approvals for in one call. */
-  private static final int MAX_ADVISED = 40;
-
-  /** Approvals are not used this close to their end, since the order takes time to arrive. */
-  private static final long TICKET_MARGIN_MS = 300;
-
   /** Share of a worker that work of low priority leaves free for urgent work. */
   private static final double URGENT_SHARE = 0.06;
 
-  /** Answers about unknown jobs need a look at the submissions that is no older than this. */
-  private static final long INTAKE_FRESH_MS = 1_500;
-
   /** A job and what is known of it beyond its progress. */
   private static final class Job {
     private final JobProgress progress;
@@ -88,15 +75,6 @@
     }
   }
 
-  /** Approvals for a step. */
-  private static final class Approvals {
-    private final Map<String, Ticket> tickets = new HashMap<>();
-    private final Set<String> asked = new HashSet<>();
-    private boolean inFlight;
-  }
-
-  private record Ticket(String text, long endsNs) {}
-
   private final ShardLoop loop;
   private final ShardMetrics metrics;
   private final KeyedLogPort log;
@@ -114,11 +92,11 @@
   private final Set<String> cancelled = new HashSet<>();
   private final Set<Job> pending = new LinkedHashSet<>();
   private final Map<String, WorkerSession> sessions = new HashMap<>();
-  private final Map<String, Approvals> approvals = new HashMap<>();
+  private final ApprovalBook approvals;
   private final Map<String, Long> sickSinceNs = new HashMap<>();
   private Map<String, byte[]> progressRecords = new HashMap<>();
-  private long intakeOffset;
-  private long intakeAtNs;
+  private final List<Intake> intakes;
+  private int lanesLoaded;
   private boolean ready;
   private boolean closed;
   private boolean passScheduled;
@@ -144,6 +122,11 @@
     this.authorityEndsNs = authorityEndsNs;
     this.catalog = catalog;
     this.advice = advice;
+    this.approvals = new ApprovalBook(loop, advice, this::onApproved);
+    this.intakes =
+        LogPart.submissionLanes().stream()
+            .map(lane -> new Intake(loop, log, lane, this::takeIn))
+            .toList();
     this.onSuperseded = onSuperseded;
     this.ledger =
         new LedgerWriter(
@@ -167,6 +150,7 @@
     ledger.close();
     advice.close();
     catalog.close();
+    intakes.forEach(Intake::close);
     sessions.values().forEach(WorkerSession::close);
     sessions.clear();
   }
@@ -188,32 +172,20 @@
           if (page.hasMore()) {
             loadProgress(page.records().get(page.records().size() - 1).key());
           } else {
-            loadSubmissions(null);
+            loadSubmissions();
           }
         });
   }
 
-  private void loadSubmissions(@Nullable String after) {
-    if (closed) {
-      return;
+  private void loadSubmissions() {
+    intakes.forEach(intake -> intake.start(this::onLaneLoaded));
+  }
+
+  private void onLaneLoaded() {
+    lanesLoaded++;
+    if (lanesLoaded == intakes.size()) {
+      beginWork();
     }
-    loop.then(
-        log.newest(LogPart.SUBMISSIONS, after, ShardSettings.STORE_TIMEOUT_MS),
-        (page, failure) -> {
-          if (page == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> loadSubmissions(after));
-            return;
-          }
-          if (after == null) {
-            intakeOffset = page.endOffset();
-          }
-          page.records().forEach(this::takeIn);
-          if (page.hasMore()) {
-            loadSubmissions(page.records().get(page.records().size() - 1).key());
-          } else {
-            beginWork();
-          }
-        });
   }
 
   private void beginWork() {
@@ -221,11 +193,9 @@
     progressRecords.forEach(this::rememberEnded);
     progressRecords = Map.of();
     ready = true;
-    intakeAtNs = loop.nowNs();
     logger.atInfo().log(
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
         TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs), epoch, jobs.size(), ended.size());
-    followIntake();
     catalog.start(this::onWorkers);
     passSoon();
   }
@@ -245,60 +215,6 @@
     }
   }
 
-  private void followIntake() {
-    if (closed) {
-      return;
-    }
-    loop.then(
-        log.read(
-            LogPart.SUBMISSIONS,
-            intakeOffset,
-            INTAKE_WAIT_MS,
-            INTAKE_WAIT_MS + ShardSettings.STORE_TIMEOUT_MS),
-        (chunk, failure) -> {
-          if (closed) {
-            return;
-          }
-          if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
-            reloadIntake(null);
-            return;
-          }
-          if (chunk == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, this::followIntake);
-            return;
-          }
-          intakeAtNs = loop.nowNs();
-          for (Stored stored : chunk.records()) {
-            takeIn(stored);
-            intakeOffset = stored.offset() + 1;
-          }
-          followIntake();
-        });
-  }
-
-  private void reloadIntake(@Nullable String after) {
-    loop.then(
-        log.newest(LogPart.SUBMISSIONS, after, ShardSettings.STORE_TIMEOUT_MS),
-        (page, failure) -> {
-          if (closed) {
-            return;
-          }
-          if (page == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> reloadIntake(after));
-            return;
-          }
-          if (after == null) {
-            intakeOffset = page.endOffset();
-          }
-          page.records().forEach(this::takeIn);
-          if (page.hasMore()) {
-            reloadIntake(page.records().get(page.records().size() - 1).key());
-          } else {
-            followIntake();
-          }
-        });
-  }
-
   private void takeIn(Stored stored) {
     if (stored.value().length == 0) {
       return;
@@ -477,13 +393,7 @@
         "task: %s run %d not started on %s: %s.",
         slot.id(), placement.run(), placement.room().facts().id(), outcome);
     if (outcome == Outcome.BAD_TICKET) {
-      Approvals known = approvals.get(slot.id().stepName());
-      if (known != null) {
-        // An approval that has ended is asked for again; one that was denied is not.
-        known.tickets.computeIfPresent(
-            placement.room().facts().id(),
-            (worker, ticket) -> new Ticket(ticket.text(), loop.nowNs()));
-      }
+      approvals.expire(slot.id().stepName(), placement.room().facts().id());
     }
     Job job = jobs.get(slot.id().jobId());
     if (job != null && slot.run() == placement.run()) {
@@ -566,8 +476,7 @@
       jobs.remove(job.id());
       pending.remove(job);
       ended.put(job.id(), state);
-      String prefix = job.id() + ".";
-      approvals.keySet().removeIf(step -> step.startsWith(prefix));
+      approvals.forget(job.id());
     }
   }
 
@@ -595,10 +504,7 @@
 
   /** Returns whether the submissions were looked at so recently that a job not seen is unknown. */
   boolean isCurrent() {
-    return isReady()
-        && loop.nowNs() - intakeAtNs
-            < TimeUnit.MILLISECONDS.toNanos(INTAKE_FRESH_MS)
-                + TimeUnit.MILLISECONDS.toNanos(INTAKE_WAIT_MS);
+    return isReady() && intakes.stream().allMatch(Intake::isFresh);
   }
 
   /** Returns how far a job is, as far as that is stored; null for a job that is not known. */
@@ -701,12 +607,16 @@
     return jobOf(owners, step).progress.submission().policy();
   }
 
+  private void onApproved(String jobId) {
+    Job job = jobs.get(jobId);
+    if (job != null) {
+      pending.add(job);
+      passSoon();
+    }
+  }
+
   private void placeStep(Job job, StepProgress step) {
     QueuePolicy policy = job.progress.submission().policy();
-    Approvals known = null;
-    if (policy.advice() != null) {
-      known = approvals.computeIfAbsent(step.name(), name -> new Approvals());
-    }
     List<WorkerSession> usable = new ArrayList<>();
     for (WorkerSession session : sessions.values()) {
       if (session.isUsable() && session.room().facts().service().equals(policy.service())) {
@@ -714,38 +624,34 @@
       }
     }
     boolean whole =
-        step.spec().gang()
-            ? placeGang(job, step, usable, known)
-            : placeEach(job, step, usable, known);
+        step.spec().gang() ? placeGang(job, step, usable) : placeEach(job, step, usable);
     AdvicePolicy advicePolicy = policy.advice();
-    if (!whole && advicePolicy != null && known != null) {
-      askApprovals(job, step, usable, known, advicePolicy);
+    if (!whole && advicePolicy != null) {
+      approvals.ask(job.progress.submission(), step, usable, advicePolicy);
     }
   }
 
-  private boolean placeEach(
-      Job job, StepProgress step, List<WorkerSession> usable, @Nullable Approvals known) {
+  private boolean placeEach(Job job, StepProgress step, List<WorkerSession> usable) {
     for (TaskSlot slot : step.slots()) {
       if (slot.phase() != TaskSlot.Phase.IDLE) {
         continue;
       }
-      WorkerSession best = choose(job, slot, usable, known, null);
+      WorkerSession best = choose(job, slot, usable, null);
       if (best == null) {
         return false;
       }
-      place(job, slot, best, known, slot.run() + 1);
+      place(job, slot, best, slot.run() + 1);
     }
     return true;
   }
 
-  private boolean placeGang(
-      Job job, StepProgress step, List<WorkerSession> usable, @Nullable Approvals known) {
+  private boolean placeGang(Job job, StepProgress step, List<WorkerSession> usable) {
     int run = step.highestRun() + 1;
     // Reserves as it goes, so that members don't count the same room twice; undone if one fails.
     List<WorkerSession> chosen = new ArrayList<>();
     String rack = null;
     for (TaskSlot slot : step.slots()) {
-      WorkerSession best = choose(job, slot, usable, known, step.spec().sameRack() ? rack : null);
+      WorkerSession best = choose(job, slot, usable, step.spec().sameRack() ? rack : null);
       if (best == null) {
         for (int i = 0; i < chosen.size(); i++) {
           chosen.get(i).room().release(step.slots().get(i).id(), run);
@@ -757,29 +663,22 @@
       chosen.add(best);
     }
     for (int i = 0; i < chosen.size(); i++) {
-      place(job, step.slots().get(i), chosen.get(i), known, run);
+      place(job, step.slots().get(i), chosen.get(i), run);
     }
     return true;
   }
 
   private @Nullable WorkerSession choose(
-      Job job,
-      TaskSlot slot,
-      List<WorkerSession> usable,
-      @Nullable Approvals known,
-      @Nullable String gangRack) {
-    long nowNs = loop.nowNs();
+      Job job, TaskSlot slot, List<WorkerSession> usable, @Nullable String gangRack) {
+    boolean needsTicket = job.progress.submission().policy().advice() != null;
     int priority = job.progress.submission().policy().priority();
     WorkerSession best = null;
     double bestCost = Double.MAX_VALUE;
     for (WorkerSession session : usable) {
       WorkerRoom room = session.room();
       int keepFree = priority == 0 ? 0 : (int) Math.round(room.facts().cpuMillis() * URGENT_SHARE);
-      if (known != null) {
-        Ticket ticket = known.tickets.get(room.facts().id());
-        if (ticket == null || nowNs - ticket.endsNs() >= 0) {
-          continue;
-        }
+      if (needsTicket && approvals.ticket(slot.id().stepName(), room.facts().id()) == null) {
+        continue;
       }
       if (!room.fits(slot, keepFree)) {
         continue;
@@ -793,17 +692,16 @@
     return best;
   }
 
-  private void place(
-      Job job, TaskSlot slot, WorkerSession session, @Nullable Approvals known, int run) {
+  private void place(Job job, TaskSlot slot, WorkerSession session, int run) {
     String worker = session.room().facts().id();
     slot.place(worker, run);
     Placement placement = session.add(slot);
-    Ticket ticket = known == null ? null : known.tickets.get(worker);
+    String ticket = approvals.ticket(slot.id().stepName(), worker);
     ledger.touch(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
     ledger.afterStored(() -> send(job, session, placement, ticket));
   }
 
-  private void send(Job job, WorkerSession session, Placement placement, @Nullable Ticket ticket) {
+  private void send(Job job, WorkerSession session, Placement placement, @Nullable String ticket) {
     if (closed || placement.isStopping() || job.progress.state().isFinal()) {
       session.withdraw(placement);
       if (!closed) {
@@ -813,67 +711,6 @@
     }
     String payload = job.progress.submission().spec().payload();
     metrics.started();
-    session.start(placement, payload, ticket == null ? null : ticket.text());
-  }
-
-  private void askApprovals(
-      Job job,
-      StepProgress step,
-      List<WorkerSession> usable,
-      Approvals known,
-      AdvicePolicy policy) {
-    if (known.inFlight) {
-      return;
-    }
-    TaskSlot sample =
-        step.slots().stream()
-            .filter(slot -> slot.phase() == TaskSlot.Phase.IDLE)
-            .findFirst()
-            .orElse(step.slots().get(0));
-    long nowNs = loop.nowNs();
-    List<WorkerSession> wanted = new ArrayList<>();
-    for (WorkerSession session : usable) {
-      String id = session.room().facts().id();
-      Ticket ticket = known.tickets.get(id);
-      boolean denied = known.asked.contains(id) && ticket == null;
-      boolean expired = ticket != null && nowNs - ticket.endsNs() >= 0;
-      boolean unasked = !known.asked.contains(id);
-      if (!denied && (unasked || expired) && session.room().fits(sample, 0)) {
-        wanted.add(session);
-      }
-    }
-    if (wanted.isEmpty()) {
-      return;
-    }
-    wanted.sort(
-        Comparator.comparingInt((WorkerSession session) -> -session.room().freeCpuMillis())
-            .thenComparing(session -> session.room().facts().id()));
-    List<String> ids =
-        wanted.stream().limit(MAX_ADVISED).map(session -> session.room().facts().id()).toList();
-    known.inFlight = true;
-    Submission submission = job.progress.submission();
-    advice.submit(
-        new AdviceDesk.Ask(
-            step.name(),
-            ids,
-            submission.policy().priority(),
-            submission.dueMs(),
-            Math.round(policy.decisionMs() + policy.perWorkerMs() * ids.size()),
-            (approved, sentNs) -> {
-              known.inFlight = false;
-              if (approved != null) {
-                known.asked.addAll(ids);
-                long endsNs =
-                    loop.nowNs()
-                        + TimeUnit.MILLISECONDS.toNanos(
-                            Math.round(policy.validityMs()) - TICKET_MARGIN_MS);
-                approved.forEach(
-                    approval ->
-                        known.tickets.put(
-                            approval.workerId(), new Ticket(approval.ticket(), endsNs)));
-              }
-              pending.add(job);
-              passSoon();
-            }));
+    session.start(placement, payload, ticket);
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
@@ -11,10 +11,10 @@
 public record ShardSettings(String hostId, String domain, String peerAddress, long leaseMs) {
 
   /** Sends per second enough to notice a dead coordinator within about a second and a half. */
-  static final long HEARTBEAT_MS = 500;
+  static final long HEARTBEAT_MS = 400;
 
   /** Three heartbeats missed in a row mean that the coordinator is gone or cut off. */
-  static final long SILENCE_MS = 1_500;
+  static final long SILENCE_MS = 1_200;
 
   /**
    * A coordinator renews leases only this long after its last confirmed heartbeat, so that its
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
@@ -21,8 +21,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Appends in flight at a time, so that a silent connection does not hold up all callers. */
-  private static final int MAX_IN_FLIGHT = 4;
+  /** Appends in flight at a time; a second one passes a connection that has gone silent. */
+  private static final int MAX_IN_FLIGHT = 2;
 
   /** Keeps an append below the store's limit of 2 MB. */
   private static final int MAX_BATCH_BYTES = 1_000_000;
@@ -33,14 +33,11 @@
   /** A probe without an answer after this time is followed by the next. */
   private static final long PROBE_TIMEOUT_MS = 400;
 
-  private static final PlatformException OUT =
-      new PlatformException(
-          PlatformException.Type.REFUSED, "not sent, as the store does not answer");
-
   private record Pending(Entry entry, CompletableFuture<Void> stored) {}
 
   private final ShardLoop loop;
   private final KeyedLogPort log;
+  private final LogPart lane;
   private final Entry probe;
   private List<Pending> queue = new ArrayList<>();
   private int inFlight;
@@ -49,11 +46,13 @@
   /**
    * Makes a log.
    *
+   * @param lane stream to append to
    * @param probe a record of {@link LogPart#HOSTS} that may be written again at any time
    */
-  SubmissionLog(ShardLoop loop, KeyedLogPort log, Entry probe) {
+  SubmissionLog(ShardLoop loop, KeyedLogPort log, LogPart lane, Entry probe) {
     this.loop = loop;
     this.log = log;
+    this.lane = lane;
     this.probe = probe;
   }
 
@@ -70,7 +69,7 @@
     loop.execute(
         () -> {
           if (out) {
-            pending.stored().completeExceptionally(OUT);
+            pending.stored().completeExceptionally(notSent());
             return;
           }
           queue.add(pending);
@@ -94,7 +93,7 @@
     inFlight++;
     List<Entry> entries = batch.stream().map(Pending::entry).toList();
     loop.then(
-        log.append(LogPart.SUBMISSIONS, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs),
+        log.append(lane, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs),
         (offset, failure) -> {
           inFlight--;
           report(failure);
@@ -115,11 +114,16 @@
     }
     out = true;
     logger.atInfo().log("submissions: Store does not answer: %s", failure.getMessage());
-    queue.forEach(pending -> pending.stored().completeExceptionally(OUT));
+    queue.forEach(pending -> pending.stored().completeExceptionally(notSent()));
     queue = new ArrayList<>();
     loop.schedule(PROBE_MS, this::probe);
   }
 
+  private static PlatformException notSent() {
+    return new PlatformException(
+        PlatformException.Type.REFUSED, "not sent, as the store does not answer");
+  }
+
   private void probe() {
     loop.then(
         log.append(LogPart.HOSTS, List.of(probe), null, KeyedLogPort.ANY_OFFSET, PROBE_TIMEOUT_MS),
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/AdviceDeskTest.java
@@ -0,0 +1,76 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.port.AdvicePort.Approval;
+import org.junit.jupiter.api.Test;
+
+final class AdviceDeskTest {
+
+  private static final long SLOW_MS = 800;
+  private static final long QUICK_MS = 40;
+
+  private final VirtualTime time = new VirtualTime(1);
+  private final List<String> asked = new ArrayList<>();
+  private final List<CompletableFuture<List<Approval>>> calls = new ArrayList<>();
+  private final AdviceDesk desk =
+      new AdviceDesk(
+          time.new HostLoop(),
+          (host, step, workers, withinMs) -> {
+            asked.add(host + " " + step);
+            calls.add(new CompletableFuture<>());
+            return calls.get(calls.size() - 1);
+          },
+          () -> List.of("h0", "h1", "h2"),
+          new ShardMetrics(new MetricRegistry()));
+
+  private void ask(String step, int priority, long dueMs, long expectedMs) {
+    desk.submit(
+        new AdviceDesk.Ask(step, List.of("w"), priority, dueMs, expectedMs, approved -> {}));
+  }
+
+  @Test
+  void slowDecisionsLeaveHostForQuickOnes() {
+    ask("slow-1", 2, 1, SLOW_MS);
+    ask("slow-2", 2, 2, SLOW_MS);
+    ask("slow-3", 2, 3, SLOW_MS);
+    ask("quick", 0, 4, QUICK_MS);
+
+    assertThat(asked).containsExactly("h0 slow-1", "h1 slow-2", "h2 quick").inOrder();
+  }
+
+  @Test
+  void urgentAndEarlyStepsGoFirst() {
+    for (int i = 0; i < 3; i++) {
+      ask("running-" + i, 0, 0, QUICK_MS);
+    }
+    ask("late", 1, 9, QUICK_MS);
+    ask("early", 1, 5, QUICK_MS);
+    ask("urgent", 0, 20, QUICK_MS);
+
+    calls.get(0).complete(List.of());
+    time.pass(1);
+    calls.get(1).complete(List.of());
+    time.pass(1);
+
+    assertThat(asked.get(3)).isEqualTo("h0 urgent");
+    assertThat(asked.get(4)).isEqualTo("h1 early");
+  }
+
+  @Test
+  void slowDecisionsGoOnThoughMostHostsAreGone() {
+    for (int i = 0; i < 2; i++) {
+      ask("gone-" + i, 0, 0, QUICK_MS);
+      calls.get(i).completeExceptionally(new IllegalStateException("host is gone"));
+      time.pass(1);
+    }
+
+    ask("slow", 2, 1, SLOW_MS);
+
+    assertThat(asked).contains("h2 slow");
+  }
+}
