Hand over when the coordinating host becomes slow

Ruled out: room on workers, approvals. Its timers now tell; four late ones in a row hand over, and the host rests for 8 s. ShardTest has the case.

--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LagWatch.java
@@ -0,0 +1,51 @@
+package org.hickorymoor.daemon.shard;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Notices that the loop's thread runs late for a while, as on a host that has become slow. Belongs
+ * to the thread of the loop.
+ */
+final class LagWatch {
+
+  /** Pace of the checks. */
+  private static final long EVERY_MS = 100;
+
+  /** A healthy loop runs its timers within a few milliseconds. */
+  private static final long LATE_MS = 60;
+
+  /** Late checks in a row that tell a slow host from a pause for the garbage collector. */
+  private static final int LATE_CHECKS = 4;
+
+  private final ShardLoop loop;
+  private final Runnable onSlow;
+  private int lateInRow;
+  private boolean closed;
+
+  LagWatch(ShardLoop loop, Runnable onSlow) {
+    this.loop = loop;
+    this.onSlow = onSlow;
+  }
+
+  void start() {
+    long beganNs = loop.nowNs();
+    loop.schedule(EVERY_MS, () -> check(beganNs));
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  private void check(long beganNs) {
+    if (closed) {
+      return;
+    }
+    long lateMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - beganNs) - EVERY_MS;
+    lateInRow = lateMs > LATE_MS ? lateInRow + 1 : 0;
+    if (lateInRow >= LATE_CHECKS) {
+      lateInRow = 0;
+      onSlow.run();
+    }
+    start();
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
@@ -41,6 +41,9 @@
   /** Epochs of two claims at one time differ, so that the store can't take one for a repeat. */
   private static final int EPOCH_STEP = 4_096;
 
+  /** Time for which a host that became slow does not claim; slow hosts recover within seconds. */
+  private static final long REST_MS = 8_000;
+
   /** Spreads the claims of hosts that notice the silence at the same moment. */
   private static final int CLAIM_SPREAD_MS = 150;
 
@@ -56,6 +59,7 @@
   private long confirmedNs;
   private boolean candidate = true;
   private boolean firstLook = true;
+  private boolean left;
   private boolean stopped;
   private boolean storeOut;
 
@@ -92,12 +96,17 @@
 
   /** Hands over if this host coordinates, and claims no more. */
   void leave() {
+    left = true;
     candidate = false;
     Coordinator leaving = self;
     if (leaving == null) {
       return;
     }
     depose("this host stops");
+    announceLeaving(leaving);
+  }
+
+  private void announceLeaving(Coordinator leaving) {
     var unused =
         log.append(
             LogPart.OWNERSHIP,
@@ -107,6 +116,22 @@
             ShardSettings.STORE_TIMEOUT_MS);
   }
 
+  /**
+   * Hands over because this host has become slow, and claims nothing for a while. Another host that
+   * is no better hands over in turn.
+   */
+  void rest(String reason) {
+    Coordinator resting = self;
+    if (resting == null) {
+      return;
+    }
+    candidate = false;
+    loop.schedule(REST_MS, () -> candidate = !left);
+    depose(reason);
+    announceLeaving(resting);
+    load();
+  }
+
   /** Ends everything. */
   void stop() {
     stopped = true;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -82,6 +82,7 @@
   private final HostRegistry hosts;
   private final Ownership ownership;
   private final RecentJobs recent = new RecentJobs(REMEMBERED_JOBS);
+  private final LagWatch lagWatch;
   private @Nullable ShardOwner owner;
 
   /**
@@ -117,6 +118,7 @@
     this.hosts = new HostRegistry(loop, log, settings);
     this.submissions = new SubmissionLog(loop, log, lane(settings.hostId()), hosts.record());
     this.ownership = new Ownership(loop, log, settings, new Roles());
+    this.lagWatch = new LagWatch(loop, () -> ownership.rest("this host has become slow"));
   }
 
   private static LogPart lane(String hostId) {
@@ -128,6 +130,7 @@
   public void start() {
     hosts.start();
     ownership.start();
+    loop.execute(lagWatch::start);
   }
 
   /** Hands the coordination over; requests are still taken. */
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -199,4 +199,32 @@
     assertThat(cell.time.passUntil(2_000, stored::isDone)).isTrue();
     assertThat(stored.join()).isEqualTo(Shard.Stored.YES);
   }
+
+  @Test
+  void coordinatorThatBecomesSlowHandsOverAndEndsNoRun() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    final String first = awaitCoordinator();
+    cell.submit(anotherThan(first), "job", step(4, List.of(), true));
+    cell.time.passUntil(5_000, () -> cell.workers.running().size() == 4);
+
+    cell.slow(first, 100);
+
+    assertThat(
+            cell.time.passUntil(
+                6_000, () -> cell.coordinator() != null && !first.equals(cell.coordinator())))
+        .isTrue();
+    cell.time.pass(8_000);
+    assertThat(cell.workers.starts()).isEqualTo(4);
+    assertThat(cell.workers.running()).hasSize(4);
+  }
+
+  @Test
+  void hostThatCoordinatedBeforeClaimsAtOnceAfterRestartOfAll() {
+    final String first = awaitCoordinator();
+    cell.names().forEach(cell::kill);
+    cell.time.pass(100);
+    cell.names().forEach(cell::boot);
+
+    assertThat(cell.time.passUntil(500, () -> first.equals(cell.coordinator()))).isTrue();
+  }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -93,6 +93,10 @@
     host(name).loop.freeze(forMs);
   }
 
+  void slow(String name, long lateByMs) {
+    host(name).loop.slow(lateByMs);
+  }
+
   boolean isDead(String name) {
     return host(name).loop.isDead();
   }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/VirtualTime.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/VirtualTime.java
@@ -67,6 +67,12 @@
   final class HostLoop implements ShardLoop {
     private boolean dead;
     private long frozenUntilNs;
+    private long lagMs;
+
+    /** Runs every task this much late. */
+    void slow(long lateByMs) {
+      lagMs = lateByMs;
+    }
 
     /** Drops all that the host would still do. */
     void kill() {
@@ -89,7 +95,7 @@
 
     @Override
     public void schedule(long delayMs, Runnable task) {
-      after(delayMs, () -> run(task));
+      after(delayMs + lagMs, () -> run(task));
     }
 
     private void run(Runnable task) {
