--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
@@ -0,0 +1,96 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.List;
+import org.hickorymoor.domain.workload.AdvicePolicy;
+import org.hickorymoor.domain.workload.EndKind;
+import org.hickorymoor.domain.workload.JobProgress;
+import org.hickorymoor.domain.workload.QueuePolicy;
+import org.hickorymoor.domain.workload.StepSpec;
+import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.TaskSlot;
+import org.hickorymoor.domain.workload.WorkloadSpec;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.junit.jupiter.api.Test;
+
+final class WorkloadCodecTest {
+
+  private static final Submission SUBMISSION =
+      new Submission(
+          "job",
+          77,
+          new QueuePolicy("q", "pool", 2, 3, 1.5, 600, new AdvicePolicy(30.5, 0.3, 2_500)),
+          new WorkloadSpec(
+              "text ผ้า",
+              List.of(step(2, List.of(), true, false), step(3, List.of(0), false, true)),
+              4,
+              1_000,
+              500));
+
+  private static StepSpec step(int count, List<Integer> after, boolean gang, boolean filler) {
+    return new StepSpec(
+        count,
+        1,
+        2,
+        3,
+        4,
+        after,
+        true,
+        gang,
+        gang,
+        gang ? "label" : null,
+        filler ? "r1" : null,
+        5,
+        filler,
+        gang,
+        "image",
+        6,
+        filler,
+        7);
+  }
+
+  @Test
+  void submissionComesBackTheSame() throws MalformedRecordException {
+    assertThat(WorkloadCodec.decodeSubmission(WorkloadCodec.encode(SUBMISSION)))
+        .isEqualTo(SUBMISSION);
+  }
+
+  @Test
+  void progressComesBackWithEveryTouchedTask() throws MalformedRecordException {
+    JobProgress job = new JobProgress(SUBMISSION);
+    job.beginDue(1_600);
+    TaskSlot placed = job.steps(1).get(1).slots().get(2);
+    placed.place("w1", 4);
+    placed.save("c9");
+    TaskSlot failed = job.steps(0).get(1).slots().get(0);
+    failed.place("w2", 1);
+    job.end(failed, EndKind.FAILED, "");
+    job.markRunning();
+
+    JobProgress restored = new JobProgress(SUBMISSION);
+    WorkloadCodec.restore(restored, WorkloadCodec.encodeProgress(job));
+
+    assertThat(restored.state()).isEqualTo(WorkloadState.RUNNING);
+    TaskSlot again = restored.steps(1).get(1).slots().get(2);
+    assertThat(again.phase()).isEqualTo(TaskSlot.Phase.PLACED);
+    assertThat(again.workerId()).isEqualTo("w1");
+    assertThat(again.run()).isEqualTo(4);
+    assertThat(again.checkpoint()).isEqualTo("c9");
+    assertThat(restored.steps(0).get(1).slots().get(0).failures()).isEqualTo(1);
+  }
+
+  @Test
+  void recordsThatAreCutOrOfAnotherFormatAreRefused() {
+    byte[] whole = WorkloadCodec.encode(SUBMISSION);
+    for (int length = 0; length < whole.length; length++) {
+      byte[] cut = Arrays.copyOf(whole, length);
+      assertThrows(MalformedRecordException.class, () -> WorkloadCodec.decodeSubmission(cut));
+    }
+    byte[] newer = whole.clone();
+    newer[0] = 9;
+    assertThrows(MalformedRecordException.class, () -> WorkloadCodec.decodeSubmission(newer));
+  }
+}
