--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -125,7 +125,7 @@
 
     private TaskWorkerPort.OrderReply start(
         TaskWorkerPort.StartOrder order, long until, long token) {
-      if (token < fence) {
+      if (checksFence && token < fence) {
         return reply(TaskWorkerPort.Outcome.FENCED);
       }
       fence = token;
@@ -159,7 +159,7 @@
     }
 
     private TaskWorkerPort.OrderReply stop(String task, int number, long token) {
-      if (token < fence) {
+      if (checksFence && token < fence) {
         return reply(TaskWorkerPort.Outcome.FENCED);
       }
       fence = token;
@@ -172,7 +172,7 @@
     }
 
     private TaskWorkerPort.Report hold(long until, long seen, long token) {
-      if (token < fence) {
+      if (checksFence && token < fence) {
         return new TaskWorkerPort.Report(
             TaskWorkerPort.Outcome.FENCED, time.nowMs(), born, List.of(), List.of(), false);
       }
@@ -213,12 +213,18 @@
   private Outcomes outcomes = (task, run, worker) -> EndKind.DONE;
   private Supplier<Long> durationMs = () -> 500L;
   private int starts;
+  private boolean checksFence = true;
 
   FakeWorkers(VirtualTime time, FakeStore store) {
     this.time = time;
     this.store = store;
   }
 
+  /** Makes workers obey any coordinator, to show that the checks notice it. */
+  void obeyAnybody() {
+    checksFence = false;
+  }
+
   Worker add(String id) {
     Worker worker = new Worker(id);
     workers.put(id, worker);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardFaultsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardFaultsTest.java
@@ -12,6 +12,7 @@
 import org.hickorymoor.domain.workload.EndKind;
 import org.hickorymoor.domain.workload.StepSpec;
 import org.hickorymoor.domain.workload.WorkloadState;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -47,6 +48,20 @@
     run.check();
   }
 
+  @Test
+  void checksNoticeWorkersThatObeyFormerCoordinators() {
+    boolean noticed = false;
+    for (long seed = 1; seed <= SEEDS && !noticed; seed++) {
+      Run run = new Run(seed);
+      run.cell.workers.obeyAnybody();
+      run.faults();
+      run.recover();
+      noticed = !run.cell.workers.violations().isEmpty();
+    }
+
+    assertWithMessage("a start that breaks a promise").that(noticed).isTrue();
+  }
+
   /** One series. */
   private static final class Run {
     private final long seed;
