--- a/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
+++ b/bench/src/main/java/org/hickorymoor/bench/load/LoadCell.java
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorymoor.daemon.HickorymoordMain;
-import org.hickorymoor.standins.StandInsMain;
-import org.hickorymoor.standins.proxy.FaultProxy;
-import org.hickorymoor.standins.proxy.ProxySettings;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
+import org.hickorymoor.standins.StandInsMain;
+import org.hickorymoor.standins.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.ProxySettings;
 
 /** One failure domain of real processes on loopback, with byte counts at its edges. */
 final class LoadCell implements AutoCloseable {
--- a/local/src/main/java/org/hickorymoor/local/LocalPlatform.java
+++ b/local/src/main/java/org/hickorymoor/local/LocalPlatform.java
@@ -4,15 +4,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hickorymoor.domain.Resources;
+import org.hickorymoor.protocol.platform.HostEntry;
+import org.hickorymoor.protocol.platform.HostRole;
+import org.hickorymoor.protocol.platform.HostState;
 import org.hickorymoor.standins.hosts.HostListSettings;
 import org.hickorymoor.standins.hosts.HostListStandIn;
 import org.hickorymoor.standins.log.LogSettings;
 import org.hickorymoor.standins.log.LogStandIn;
 import org.hickorymoor.standins.worker.WorkerSettings;
 import org.hickorymoor.standins.worker.WorkerStandIn;
-import org.hickorymoor.protocol.platform.HostEntry;
-import org.hickorymoor.protocol.platform.HostRole;
-import org.hickorymoor.protocol.platform.HostState;
 
 /** The stand-ins for one failure domain's platform, in this process. Not thread-safe. */
 final class LocalPlatform {
--- a/process-tests/src/test/java/org/hickorymoor/process/Cell.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/Cell.java
@@ -19,12 +19,12 @@
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.hickorymoor.daemon.HickorymoordMain;
-import org.hickorymoor.standins.StandInsMain;
-import org.hickorymoor.standins.proxy.FaultProxy;
-import org.hickorymoor.standins.proxy.ProxySettings;
 import org.hickorymoor.protocol.platform.HostEntry;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
+import org.hickorymoor.standins.StandInsMain;
+import org.hickorymoor.standins.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.ProxySettings;
 
 /** A cell of real processes: log, host list, workers and daemons, each a process of its own. */
 final class Cell implements AutoCloseable {
--- a/process-tests/src/test/java/org/hickorymoor/process/CutOffHost.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/CutOffHost.java
@@ -2,10 +2,10 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.hickorymoor.standins.proxy.FaultProxy;
-import org.hickorymoor.standins.proxy.ProxyFaults;
 import org.hickorymoor.protocol.platform.HostRole;
 import org.hickorymoor.protocol.platform.HostState;
+import org.hickorymoor.standins.proxy.FaultProxy;
+import org.hickorymoor.standins.proxy.ProxyFaults;
 
 /**
  * An entry host that reaches the log, the workers and its peers through proxies, and is reached by
