Let jobs that can be on time go before a backlog that can't

Ruled out: room (56 starts a second from second 18 on with the same workers), the store (well from second 9.6).

Change: up to four quick decisions at a time through one host, slow ones alone; the order within a priority is by what a job can still achieve; jobs whose results have lost their use go last. Submissions of ended jobs are dropped from the store, so that a takeover reads open jobs only; one record that can't be handled no longer keeps those after it from being read.

Tests: AdviceLoadTest and UrgencyTest name the patterns (the order by due time alone leaves fewer than half on time).

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
@@ -12,14 +12,15 @@
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.AdvicePort.Approval;
 import org.hickorymoor.daemon.port.PlatformException;
+import org.hickorymoor.domain.workload.Urgency;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Spreads requests for approvals over the hosts, since the service works on one call of a host at a
  * time.
  *
- * <p>Requests with the earliest deadline of the highest priority go first. Slow decisions leave
- * some hosts free for quick ones. Belongs to the thread of the loop.
+ * <p>The most urgent steps go first. Slow decisions leave some hosts free for quick ones. Belongs
+ * to the thread of the loop.
  */
 final class AdviceDesk {
 
@@ -35,16 +36,14 @@
    *
    * @param step name of the step
    * @param workerIds workers to decide about
-   * @param priority 0 goes first
-   * @param dueMs Unix time by which the job should be complete
+   * @param urgency how soon the step has to start; the most urgent goes first
    * @param expectedMs time that the decision should take
    * @param handler takes the approvals, or null if none could be had
    */
   record Ask(
       String step,
       List<String> workerIds,
-      int priority,
-      long dueMs,
+      Urgency urgency,
       long expectedMs,
       Consumer<@Nullable List<Approval>> handler) {}
 
@@ -64,16 +63,44 @@
 
   private static final int MAX_DOUBLINGS = 3;
 
-  private static final Comparator<Ask> ORDER =
-      Comparator.comparingInt(Ask::priority).thenComparingLong(Ask::dueMs);
+  /**
+   * Quick decisions under way through one host at a time. They are made in turn, so more than one
+   * hides the way to the host and back, up to 100 ms against some 25 ms for a decision.
+   */
+  private static final int QUICK_AT_ONCE = 4;
+
+  private static final Comparator<Ask> ORDER = Comparator.comparing(Ask::urgency);
+
+  /** What is under way through one host. */
+  private static final class HostLoad {
+    private int quick;
+    private boolean slow;
+    private long expectedMs;
+    private int failuresInRow;
+    private long pausedUntilNs;
+    private boolean paused;
+
+    void add(Ask ask, int sign) {
+      expectedMs += sign * ask.expectedMs();
+      if (isSlow(ask)) {
+        slow = sign > 0;
+      } else {
+        quick += sign;
+      }
+    }
+
+    boolean takes(Ask ask, long nowNs) {
+      boolean pausing = paused && nowNs - pausedUntilNs < 0;
+      return !pausing && !slow && (isSlow(ask) || quick < QUICK_AT_ONCE);
+    }
+  }
 
   private final ShardLoop loop;
   private final ShardMetrics metrics;
   private final Caller caller;
   private final Supplier<List<String>> hosts;
   private final List<Ask> queue = new ArrayList<>();
-  private final Map<String, Long> busyUntilNs = new HashMap<>();
-  private final Map<String, Integer> failuresInRow = new HashMap<>();
+  private final Map<String, HostLoad> loads = new HashMap<>();
   private int slowInFlight;
   private boolean closed;
 
@@ -99,17 +126,21 @@
     if (closed) {
       return;
     }
-    List<String> free = freeHosts();
-    int total = hosts.get().size();
+    List<String> known = hosts.get();
+    loads.keySet().retainAll(known);
+    int total = known.size();
     int maxSlow = Math.max(1, total - Math.max(1, total / FREE_SHARE));
     var asks = queue.iterator();
-    while (asks.hasNext() && !free.isEmpty()) {
+    while (asks.hasNext()) {
       Ask ask = asks.next();
       if (isSlow(ask) && slowInFlight >= maxSlow) {
         continue;
       }
-      asks.remove();
-      send(free.remove(0), ask);
+      String host = leastLoaded(known, ask);
+      if (host != null) {
+        asks.remove();
+        send(host, ask);
+      }
     }
   }
 
@@ -117,32 +148,35 @@
     return ask.expectedMs() > SLOW_MS;
   }
 
-  /** Returns the hosts without a call, those that answered last time first. */
-  private List<String> freeHosts() {
+  /** Returns the host that would decide first, of those that answered last time if any did. */
+  private @Nullable String leastLoaded(List<String> known, Ask ask) {
     long nowNs = loop.nowNs();
-    List<String> free = new ArrayList<>();
-    for (String host : hosts.get()) {
-      Long until = busyUntilNs.get(host);
-      if (until == null || nowNs - until >= 0) {
-        free.add(host);
-      }
-    }
-    free.sort(Comparator.comparingInt(host -> failuresInRow.getOrDefault(host, 0)));
-    return free;
+    return known.stream()
+        .filter(host -> load(host).takes(ask, nowNs))
+        .min(
+            Comparator.<String>comparingInt(host -> load(host).failuresInRow)
+                .thenComparingLong(host -> load(host).expectedMs))
+        .orElse(null);
+  }
+
+  private HostLoad load(String host) {
+    return loads.computeIfAbsent(host, unused -> new HostLoad());
   }
 
   private void send(String host, Ask ask) {
-    long withinMs = ask.expectedMs() * 2 + MARGIN_MS;
-    long sentNs = loop.nowNs();
+    HostLoad load = load(host);
+    load.add(ask, 1);
     slowInFlight += isSlow(ask) ? 1 : 0;
-    busyUntilNs.put(host, sentNs + TimeUnit.MILLISECONDS.toNanos(withinMs * 2));
+    long withinMs = load.expectedMs * 2 + MARGIN_MS;
+    long sentNs = loop.nowNs();
     loop.then(
         caller.ask(host, ask.step(), ask.workerIds(), withinMs),
-        (approvals, failure) -> onAnswer(host, ask, sentNs, approvals, failure));
+        (approvals, failure) -> onAnswer(host, load, ask, sentNs, approvals, failure));
   }
 
   private void onAnswer(
       String host,
+      HostLoad load,
       Ask ask,
       long sentNs,
       @Nullable List<Approval> approvals,
@@ -150,21 +184,31 @@
     if (closed) {
       return;
     }
+    load.add(ask, -1);
     slowInFlight -= isSlow(ask) ? 1 : 0;
     metrics.advised(approvals != null, loop.nowNs() - sentNs);
     if (approvals == null) {
       logger.atInfo().log(
           "advice: No answer for %s through %s: %s",
           ask.step(), host, failure == null ? "no reason" : failure.getMessage());
-      int failures = failuresInRow.merge(host, 1, Integer::sum);
-      long pauseMs = HOST_PAUSE_MS << Math.min(failures - 1, MAX_DOUBLINGS);
-      busyUntilNs.put(host, loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(pauseMs));
-      loop.schedule(pauseMs + 1, this::dispatch);
+      pause(load);
     } else {
-      busyUntilNs.remove(host);
-      failuresInRow.remove(host);
+      load.failuresInRow = 0;
+      load.paused = false;
     }
     ask.handler().accept(approvals);
     dispatch();
   }
+
+  /** Leaves a host alone for a while; calls that fail together count once. */
+  private void pause(HostLoad load) {
+    if (load.paused && loop.nowNs() - load.pausedUntilNs < 0) {
+      return;
+    }
+    long pauseMs = HOST_PAUSE_MS << Math.min(load.failuresInRow, MAX_DOUBLINGS);
+    load.failuresInRow++;
+    load.paused = true;
+    load.pausedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(pauseMs);
+    loop.schedule(pauseMs + 1, this::dispatch);
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalBook.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalBook.java
@@ -14,6 +14,7 @@
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.Submission;
 import org.hickorymoor.domain.workload.TaskSlot;
+import org.hickorymoor.domain.workload.Urgency;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -91,8 +92,7 @@
         new AdviceDesk.Ask(
             step.name(),
             ids,
-            submission.policy().priority(),
-            submission.dueMs(),
+            Urgency.of(submission, step, loop.nowMs()),
             Math.round(policy.decisionMs() + policy.perWorkerMs() * ids.size()),
             approved -> {
               known.inFlight = false;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Intake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Intake.java
@@ -1,7 +1,8 @@
 package org.hickorymoor.daemon.shard;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Chunk;
 import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
@@ -15,6 +16,8 @@
  */
 final class Intake {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Longest wait for new submissions in one read. */
   private static final long WAIT_MS = 1_000;
 
@@ -26,12 +29,12 @@
   private final ShardLoop loop;
   private final KeyedLogPort log;
   private final LogPart lane;
-  private final Consumer<Stored> sink;
+  private final BiConsumer<LogPart, Stored> sink;
   private long nextOffset;
   private long readAtNs;
   private boolean closed;
 
-  Intake(ShardLoop loop, KeyedLogPort log, LogPart lane, Consumer<Stored> sink) {
+  Intake(ShardLoop loop, KeyedLogPort log, LogPart lane, BiConsumer<LogPart, Stored> sink) {
     this.loop = loop;
     this.log = log;
     this.lane = lane;
@@ -72,7 +75,7 @@
             nextOffset = page.endOffset();
           }
           List<Stored> records = page.records();
-          records.forEach(sink);
+          records.forEach(this::take);
           if (page.hasMore() && !records.isEmpty()) {
             load(records.get(records.size() - 1).key(), then);
           } else {
@@ -104,9 +107,22 @@
     }
     readAtNs = loop.nowNs();
     for (Stored stored : chunk.records()) {
-      sink.accept(stored);
+      take(stored);
       nextOffset = stored.offset() + 1;
     }
     follow();
   }
+
+  /**
+   * Hands a record over; one that can't be handled must not keep those after it from being read.
+   */
+  private void take(Stored stored) {
+    try {
+      sink.accept(lane, stored);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log(
+          "submissions: Record %s of %s at offset %d left out.",
+          stored.key(), lane, stored.offset());
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -25,6 +25,7 @@
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.Submission;
 import org.hickorymoor.domain.workload.TaskSlot;
+import org.hickorymoor.domain.workload.Urgency;
 import org.hickorymoor.domain.workload.WorkerFacts;
 import org.hickorymoor.domain.workload.WorkerRoom;
 import org.hickorymoor.domain.workload.WorkloadState;
@@ -75,6 +76,9 @@
     }
   }
 
+  /** A step that could start now. */
+  private record Waiting(Job job, StepProgress step, Urgency urgency) {}
+
   private final ShardLoop loop;
   private final ShardMetrics metrics;
   private final KeyedLogPort log;
@@ -96,6 +100,7 @@
   private final Map<String, Long> sickSinceNs = new HashMap<>();
   private Map<String, byte[]> progressRecords = new HashMap<>();
   private final List<Intake> intakes;
+  private final EndedSubmissions endedSubmissions;
   private int lanesLoaded;
   private boolean ready;
   private boolean closed;
@@ -127,6 +132,7 @@
         LogPart.submissionLanes().stream()
             .map(lane -> new Intake(loop, log, lane, this::takeIn))
             .toList();
+    this.endedSubmissions = new EndedSubmissions(loop, log);
     this.onSuperseded = onSuperseded;
     this.ledger =
         new LedgerWriter(
@@ -151,6 +157,7 @@
     advice.close();
     catalog.close();
     intakes.forEach(Intake::close);
+    endedSubmissions.close();
     sessions.values().forEach(WorkerSession::close);
     sessions.clear();
   }
@@ -197,6 +204,7 @@
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
         TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs), epoch, jobs.size(), ended.size());
     catalog.start(this::onWorkers);
+    endedSubmissions.start();
     passSoon();
   }
 
@@ -209,23 +217,29 @@
       WorkloadState state = WorkloadCodec.decodeState(record);
       if (state.isFinal()) {
         ended.put(jobId, state);
+        endedSubmissions.ended(jobId);
       }
     } catch (MalformedRecordException e) {
       logger.atFine().log("shard: Record %s is not the progress of a job.", jobId);
     }
   }
 
-  private void takeIn(Stored stored) {
+  private void takeIn(LogPart lane, Stored stored) {
     if (stored.value().length == 0) {
       return;
     }
     String cancelledId = SubmissionKeys.cancelledJob(stored.key());
     if (cancelledId != null) {
+      note(cancelledId, lane, stored.key());
       cancel(cancelledId);
       return;
     }
     String jobId = SubmissionKeys.submittedJob(stored.key());
-    if (jobId == null || jobs.containsKey(jobId) || ended.containsKey(jobId)) {
+    if (jobId == null) {
+      return;
+    }
+    note(jobId, lane, stored.key());
+    if (jobs.containsKey(jobId) || ended.containsKey(jobId)) {
       return;
     }
     try {
@@ -236,6 +250,13 @@
     }
   }
 
+  private void note(String jobId, LogPart lane, String key) {
+    endedSubmissions.seen(jobId, lane, key);
+    if (ended.containsKey(jobId)) {
+      endedSubmissions.ended(jobId);
+    }
+  }
+
   private void accept(String jobId, Stored stored) throws MalformedRecordException {
     Submission submission = WorkloadCodec.decodeSubmission(stored.value());
     JobProgress progress = new JobProgress(submission);
@@ -245,6 +266,7 @@
     }
     if (progress.state().isFinal() && progress.placed().isEmpty()) {
       ended.put(jobId, progress.state());
+      endedSubmissions.ended(jobId);
       return;
     }
     Job job = new Job(progress);
@@ -263,6 +285,9 @@
   }
 
   private void cancel(String jobId) {
+    if (ended.containsKey(jobId)) {
+      return;
+    }
     cancelled.add(jobId);
     Job job = jobs.get(jobId);
     if (job == null || job.progress.state().isFinal()) {
@@ -476,6 +501,8 @@
       jobs.remove(job.id());
       pending.remove(job);
       ended.put(job.id(), state);
+      endedSubmissions.ended(job.id());
+      cancelled.remove(job.id());
       approvals.forget(job.id());
     }
   }
@@ -571,8 +598,8 @@
       return;
     }
     long nowNs = loop.nowNs();
-    List<StepProgress> steps = new ArrayList<>();
-    Map<StepProgress, Job> owners = new HashMap<>();
+    long nowMs = loop.nowMs();
+    List<Waiting> waiting = new ArrayList<>();
     for (Job job : List.copyOf(pending)) {
       List<StepProgress> readySteps = job.progress.readySteps();
       if (readySteps.isEmpty()) {
@@ -583,28 +610,11 @@
         continue;
       }
       for (StepProgress step : readySteps) {
-        steps.add(step);
-        owners.put(step, job);
+        waiting.add(new Waiting(job, step, Urgency.of(job.progress.submission(), step, nowMs)));
       }
     }
-    steps.sort(
-        Comparator.<StepProgress>comparingInt(step -> policyOf(owners, step).priority())
-            .thenComparingLong(step -> jobOf(owners, step).progress.submission().dueMs()));
-    for (StepProgress step : steps) {
-      placeStep(jobOf(owners, step), step);
-    }
-  }
-
-  private static Job jobOf(Map<StepProgress, Job> owners, StepProgress step) {
-    Job job = owners.get(step);
-    if (job == null) {
-      throw new IllegalStateException("no job of step " + step.name());
-    }
-    return job;
-  }
-
-  private static QueuePolicy policyOf(Map<StepProgress, Job> owners, StepProgress step) {
-    return jobOf(owners, step).progress.submission().policy();
+    waiting.sort(Comparator.comparing(Waiting::urgency));
+    waiting.forEach(next -> placeStep(next.job(), next.step()));
   }
 
   private void onApproved(String jobId) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
@@ -244,12 +244,17 @@
       throws IOException, MalformedRecordException {
     int occurrence = in.unpackInt();
     int number = in.unpackInt();
-    job.steps(occurrence).get(number).restoreGangFailures(in.unpackInt(), in.unpackInt());
+    List<StepProgress> known = job.steps(occurrence);
+    if (number < 0 || number >= known.size()) {
+      throw new MalformedRecordException(
+          "expected a step below " + known.size() + ", got " + number, null);
+    }
+    known.get(number).restoreGangFailures(in.unpackInt(), in.unpackInt());
     int slots = in.unpackArrayHeader();
     for (int i = 0; i < slots; i++) {
       TaskId id = new TaskId(job.submission().jobId(), occurrence, number, in.unpackInt());
       TaskSlot slot = job.slot(id);
-      TaskSlot.Phase phase = TaskSlot.Phase.values()[in.unpackInt()];
+      TaskSlot.Phase phase = phase(in.unpackInt());
       int run = in.unpackInt();
       int failures = in.unpackInt();
       String checkpoint = in.unpackString();
@@ -261,6 +266,15 @@
     }
   }
 
+  private static TaskSlot.Phase phase(int number) throws MalformedRecordException {
+    TaskSlot.Phase[] phases = TaskSlot.Phase.values();
+    if (number < 0 || number >= phases.length) {
+      throw new MalformedRecordException(
+          "expected a phase below " + phases.length + ", got " + number, null);
+    }
+    return phases[number];
+  }
+
   private static void writeText(MessagePacker out, @Nullable String text) throws IOException {
     if (text == null) {
       out.packNil();
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/AdviceLoadTest.java
@@ -0,0 +1,86 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.hickorymoor.daemon.port.AdvicePort.Approval;
+import org.hickorymoor.domain.workload.Urgency;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Load pattern: a burst of short jobs, each of which needs a quick decision, while batch jobs keep
+ * hosts busy with slow ones. The service decides one call of a host at a time, in turn, and hosts
+ * are 30 ms away.
+ */
+final class AdviceLoadTest {
+
+  private static final int HOSTS = 7;
+  private static final long ONE_WAY_MS = 30;
+  private static final long QUICK_MS = 25;
+  private static final long SLOW_MS = 550;
+
+  /** Short jobs may take this long beyond their work, so a decision must take less than half. */
+  private static final long TARGET_LATENCY_MS = 600;
+
+  /** Three times the usual 20 steps a second. */
+  private static final int BURST_PER_SECOND = 60;
+
+  private static final int BURST_SECONDS = 4;
+
+  private final VirtualTime time = new VirtualTime(1);
+  private final Map<String, Long> hostFreeMs = new HashMap<>();
+  private final AdviceDesk desk =
+      new AdviceDesk(
+          time.new HostLoop(),
+          (host, step, workers, withinMs) -> decide(host, step.startsWith("slow")),
+          () -> IntStream.range(0, HOSTS).mapToObj(i -> "h" + i).toList(),
+          new ShardMetrics(new MetricRegistry()));
+
+  private CompletableFuture<List<Approval>> decide(String host, boolean slow) {
+    CompletableFuture<List<Approval>> answer = new CompletableFuture<>();
+    time.after(
+        ONE_WAY_MS,
+        () -> {
+          long beginMs = Math.max(time.nowMs(), hostFreeMs.getOrDefault(host, 0L));
+          long endMs = beginMs + (slow ? SLOW_MS : QUICK_MS);
+          hostFreeMs.put(host, endMs);
+          time.after(endMs - time.nowMs() + ONE_WAY_MS, () -> answer.complete(List.of()));
+        });
+    return answer;
+  }
+
+  @Test
+  void quickDecisionsKeepUpWithBurstBesideSlowOnes() {
+    List<Long> tookMs = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      submit("slow-" + i, 2, SLOW_MS, new ArrayList<>());
+    }
+    int quick = BURST_PER_SECOND * BURST_SECONDS;
+    for (int i = 0; i < quick; i++) {
+      submit("quick-" + i, 0, QUICK_MS, tookMs);
+      time.pass(1_000 / BURST_PER_SECOND);
+    }
+    time.pass(2_000);
+
+    assertThat(tookMs).hasSize(quick);
+    assertThat(tookMs.stream().filter(ms -> ms > TARGET_LATENCY_MS / 2).count())
+        .isLessThan(quick / 20);
+  }
+
+  private void submit(String step, int priority, long expectedMs, List<Long> tookMs) {
+    long sentMs = time.nowMs();
+    desk.submit(
+        new AdviceDesk.Ask(
+            step,
+            List.of("w"),
+            new Urgency(Urgency.Chance.ON_TIME, priority, sentMs),
+            expectedMs,
+            approved -> tookMs.add(time.nowMs() - sentMs)));
+  }
+}
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
@@ -77,6 +77,13 @@
     add(part(where), new KeyedLogPort.Entry(key, value));
   }
 
+  /** Returns the keys of all submissions and cancellations that are kept. */
+  List<String> submissions() {
+    return LogPart.submissionLanes().stream()
+        .flatMap(lane -> part(lane).newest.keySet().stream())
+        .toList();
+  }
+
   private Part part(LogPart where) {
     return java.util.Objects.requireNonNull(parts.get(where));
   }
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/IntakeTest.java
@@ -0,0 +1,43 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
+import org.hickorymoor.daemon.port.LogPart;
+import org.junit.jupiter.api.Test;
+
+final class IntakeTest {
+
+  private static final LogPart LANE = LogPart.submissionLanes().get(0);
+
+  private final VirtualTime time = new VirtualTime(5);
+  private final FakeStore store = new FakeStore(time);
+  private final List<String> seen = new ArrayList<>();
+
+  private void take(LogPart lane, Stored stored) {
+    if (stored.key().startsWith("bad")) {
+      throw new IllegalStateException("not a record");
+    }
+    seen.add(stored.key());
+  }
+
+  @Test
+  void recordThatCanNotBeHandledHidesNoneOfThoseAfterIt() {
+    store.put(LANE, "bad1", new byte[] {1});
+    store.put(LANE, "good1", new byte[] {1});
+    Intake intake = new Intake(time.new HostLoop(), store.port("h"), LANE, this::take);
+    boolean[] loaded = {false};
+
+    intake.start(() -> loaded[0] = true);
+    time.passUntil(1_000, () -> loaded[0]);
+    time.pass(100);
+    store.put(LANE, "bad2", new byte[] {1});
+    time.pass(100);
+    store.put(LANE, "good2", new byte[] {1});
+    time.pass(100);
+
+    assertThat(seen).containsExactly("good1", "good2").inOrder();
+  }
+}
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -246,4 +246,23 @@
     assertThat(cell.coordinator()).isEqualTo(first);
     assertThat(cell.workers.violations()).isEmpty();
   }
+
+  @Test
+  void storeKeepsNoSubmissionOfEndedJobAndSuccessorStillKnowsItsEnd() {
+    final String first = awaitCoordinator();
+    final String other = anotherThan(first);
+    cell.submit(other, "done", step(1, List.of(), false));
+    cell.submit(other, "cancelled", step(1, List.of(), true));
+    assertThat(cell.awaitState(other, "done", WorkloadState.COMPLETED, 10_000)).isTrue();
+    cell.shard(other).cancel("cancelled", 2_000);
+    assertThat(cell.awaitState(other, "cancelled", WorkloadState.CANCELLED, 10_000)).isTrue();
+
+    assertThat(cell.time.passUntil(10_000, () -> cell.store.submissions().isEmpty())).isTrue();
+    final int starts = cell.workers.starts();
+    cell.kill(first);
+
+    assertThat(cell.awaitState(other, "done", WorkloadState.COMPLETED, 20_000)).isTrue();
+    assertThat(cell.awaitState(other, "cancelled", WorkloadState.CANCELLED, 20_000)).isTrue();
+    assertThat(cell.workers.starts()).isEqualTo(starts);
+  }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
@@ -93,4 +93,43 @@
     newer[0] = 9;
     assertThrows(MalformedRecordException.class, () -> WorkloadCodec.decodeSubmission(newer));
   }
+
+  @Test
+  void damagedRecordsAreReadOrRefusedAndCauseNoOtherFailure() {
+    JobProgress job = new JobProgress(SUBMISSION);
+    job.beginDue(1_600);
+    job.steps(1).get(1).slots().get(2).place("w1", 4);
+    job.markRunning();
+    byte[] progress = WorkloadCodec.encodeProgress(job);
+    byte[] submission = WorkloadCodec.encode(SUBMISSION);
+
+    for (int value = 0; value < 256; value += 3) {
+      for (int at = 0; at < progress.length; at++) {
+        byte[] damaged = damage(progress, at, value);
+        readOrRefuse(() -> WorkloadCodec.restore(new JobProgress(SUBMISSION), damaged));
+      }
+      for (int at = 0; at < submission.length; at++) {
+        byte[] damaged = damage(submission, at, value);
+        readOrRefuse(() -> WorkloadCodec.decodeSubmission(damaged));
+      }
+    }
+  }
+
+  private static byte[] damage(byte[] whole, int at, int value) {
+    byte[] damaged = whole.clone();
+    damaged[at] = (byte) value;
+    return damaged;
+  }
+
+  private interface Reading {
+    void run() throws MalformedRecordException;
+  }
+
+  private static void readOrRefuse(Reading reading) {
+    try {
+      reading.run();
+    } catch (MalformedRecordException e) {
+      assertThat(e).hasMessageThat().isNotEmpty();
+    }
+  }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/Submission.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/Submission.java
@@ -8,10 +8,4 @@
  * @param policy its queue at that time
  * @param spec what to run
  */
-public record Submission(String jobId, long acceptedAtMs, QueuePolicy policy, WorkloadSpec spec) {
-
-  /** Returns the Unix time by which the job should be complete. */
-  public long dueMs() {
-    return acceptedAtMs + policy.objectiveMs(spec);
-  }
-}
+public record Submission(String jobId, long acceptedAtMs, QueuePolicy policy, WorkloadSpec spec) {}
--- /dev/null
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/UrgencyTest.java
@@ -0,0 +1,139 @@
+package org.hickorymoor.domain.workload;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.BiFunction;
+import org.hickorymoor.domain.workload.Urgency.Chance;
+import org.junit.jupiter.api.Test;
+
+final class UrgencyTest {
+
+  private static final long TARGET_LATENCY_MS = 600;
+  private static final double STRETCH = 1.5;
+
+  private static StepSpec step(long estimatedMs, List<Integer> after, boolean longRunning) {
+    return new StepSpec(
+        1,
+        1_000,
+        500,
+        0,
+        estimatedMs,
+        after,
+        false,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        longRunning,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  private static Submission job(int priority, long acceptedAtMs, StepSpec... steps) {
+    QueuePolicy policy =
+        new QueuePolicy("q", "pool", priority, 3, STRETCH, TARGET_LATENCY_MS, null);
+    return new Submission(
+        "job" + acceptedAtMs,
+        acceptedAtMs,
+        policy,
+        new WorkloadSpec("payload", List.of(steps), 0, 0, 0));
+  }
+
+  private static Urgency first(Submission job, long nowMs) {
+    return Urgency.of(job, new JobProgress(job).steps(0).get(0), nowMs);
+  }
+
+  @Test
+  void chanceFollowsFromWhatIsLeftToDo() {
+    Submission job = job(0, 1_000, step(400, List.of(), false), step(200, List.of(0), false));
+
+    assertThat(first(job, 1_900).chance()).isEqualTo(Chance.ON_TIME);
+    assertThat(first(job, 1_901).chance()).isEqualTo(Chance.LATE);
+    assertThat(first(job, 4_900).chance()).isEqualTo(Chance.LATE);
+    assertThat(first(job, 4_901).chance()).isEqualTo(Chance.TOO_LATE);
+    StepProgress last = new JobProgress(job).steps(0).get(1);
+    assertThat(Urgency.of(job, last, 2_300).chance()).isEqualTo(Chance.ON_TIME);
+  }
+
+  @Test
+  void longRunningStepIsNeverTooLate() {
+    assertThat(first(job(1, 0, step(400, List.of(), true)), 1_000_000).chance())
+        .isEqualTo(Chance.ON_TIME);
+  }
+
+  @Test
+  void lateJobOfHigherPriorityGoesBeforeOthersAndUselessOneAfterAll() {
+    Submission urgent = job(0, 0, step(400, List.of(), false));
+    Urgency late = first(urgent, 1_500);
+    Urgency useless = first(urgent, 10_000);
+    Urgency normal = first(job(2, 9_900, step(400, List.of(), false)), 10_000);
+
+    assertThat(late).isLessThan(normal);
+    assertThat(useless).isGreaterThan(normal);
+  }
+
+  /**
+   * Load pattern: after an outage a backlog of jobs waits that are late already, and new ones come
+   * at nine tenths of what the workers can do. By deadline alone every new job waits behind the
+   * backlog and is late too.
+   */
+  @Test
+  void jobsThatComeAfterOutageAreOnTimeThoughBacklogWaits() {
+    int byDeadline =
+        onTime(
+            (job, nowMs) ->
+                new Urgency(
+                    Chance.ON_TIME,
+                    job.policy().priority(),
+                    job.acceptedAtMs() + job.policy().objectiveMs(job.spec())));
+    int byUrgency = onTime(UrgencyTest::first);
+
+    assertThat(byUrgency).isAtLeast(NEW_JOBS * 9 / 10);
+    assertThat(byDeadline).isLessThan(NEW_JOBS / 2);
+  }
+
+  private static final int WORKERS = 10;
+  private static final int BACKLOG_JOBS = 100;
+  private static final int NEW_JOBS = 180;
+  private static final long WORK_MS = 1_000;
+
+  /** Runs the day and returns how many of the new jobs are on time. */
+  private static int onTime(BiFunction<Submission, Long, Urgency> order) {
+    List<Submission> waiting = new ArrayList<>();
+    for (int i = 0; i < BACKLOG_JOBS; i++) {
+      waiting.add(job(0, i * 50, step(WORK_MS, List.of(), false)));
+    }
+    final long beginMs = BACKLOG_JOBS * 50;
+    long[] freeAtMs = new long[WORKERS];
+    int onTime = 0;
+    int arrived = 0;
+    for (long nowMs = beginMs; nowMs < beginMs + 25_000; nowMs += 10) {
+      while (arrived < NEW_JOBS && beginMs + arrived * 111L <= nowMs) {
+        waiting.add(job(0, beginMs + arrived * 111L, step(WORK_MS, List.of(), false)));
+        arrived++;
+      }
+      for (int worker = 0; worker < WORKERS && !waiting.isEmpty(); worker++) {
+        if (freeAtMs[worker] <= nowMs) {
+          final long atMs = nowMs;
+          Submission next =
+              waiting.stream()
+                  .min(Comparator.comparing(job -> order.apply(job, atMs)))
+                  .orElseThrow();
+          waiting.remove(next);
+          freeAtMs[worker] = nowMs + WORK_MS;
+          long tookMs = freeAtMs[worker] - next.acceptedAtMs();
+          boolean isNew = next.acceptedAtMs() >= beginMs;
+          onTime += isNew && tookMs <= next.policy().objectiveMs(next.spec()) ? 1 : 0;
+        }
+      }
+    }
+    return onTime;
+  }
+}
