Say that a job has not run only once every worker was asked

Jobs whose run was on a worker that it had not asked yet counted as never started and were answered not-run. Seen in a traced run beside load: the cell was settled at 29.011, the first list of the fourth worker was taken in at 29.168 with eight runs of the earlier coordinator, as the list counted when it arrived and not when it was taken in. A second fault in the same run: a job that the log does not hold and whose run the earlier coordinator had stopped was never ended.

Ruled out: ends acknowledged before they are stored (the ledger held them), late starts of the dead coordinator (none listed after its hold).

Change: the cell itself counts the lists that it has taken in; a job that is cancelled before the cell is settled is in doubt until then; a job that a worker out of reach may have run is failed, not not-run; a stopped run of a job that the log does not hold ends it.

--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -39,9 +41,9 @@
   private final JobTable jobs;
   private final JobIntake intake;
   private final TaskRunner runner;
+  private final Set<String> listTaken = new HashSet<>();
   private @Nullable PolicySettings policy;
-  private boolean settled;
-  private boolean restored;
+  private boolean someUnasked;
 
   Cell(CellContext context, String termTag) {
     this.context = context;
@@ -72,7 +74,7 @@
       }
       Job job = new Job(jobId, spec, context.clockMs().getAsLong());
       jobs.add(job);
-      intake.record(job, settled, restored);
+      intake.record(job);
       answer = waitMs > 0 || !spec.repeatable() ? await(job, waitMs) : accepted(job);
     }
     pump();
@@ -84,7 +86,7 @@
       return CompletableFuture.completedFuture(reused(known));
     }
     known.want();
-    if (settled) {
+    if (state.settled()) {
       intake.enqueue(known);
     }
     return await(known, waitMs);
@@ -144,7 +146,7 @@
       if (job == null) {
         return Optional.empty();
       }
-      List<String> lines = new ArrayList<>(JobExplanation.of(job, settled));
+      List<String> lines = new ArrayList<>(JobExplanation.of(job, state.settled()));
       lines.addAll(context.scheduler().explain(job.jobId(), context.clockMs().getAsLong()));
       return Optional.of(lines);
     }
@@ -160,6 +162,7 @@
         context.scheduler().workerSeen(profile, context.clockMs().getAsLong());
       }
       runner.synced(agent, sentMs, reply);
+      listTaken.add(agent.workerId());
       if (profile != null && profile.leaving()) {
         runner.moveServices(agent.workerId());
       }
@@ -187,33 +190,52 @@
   /**
    * Does what is due.
    *
-   * @param allListed whether every known worker has been listed in this term
+   * @param workerIds the workers that are known
    */
-  void tick(boolean allListed) {
+  void tick(Collection<String> workerIds) {
     long nowMs = context.clockMs().getAsLong();
     synchronized (lock) {
       if (state.closed()) {
         return;
       }
-      boolean listed = allListed || nowMs > state.startedMs() + context.settings().lapseMs();
-      boolean logHeard = restored || nowMs > state.startedMs() + RESTORE_WAIT_MS;
-      if (!settled && listed && logHeard) {
-        settled = true;
-        jobs.all().forEach(intake::enqueue);
+      boolean allListed = listTaken.containsAll(workerIds);
+      boolean lapsed = nowMs > state.startedMs() + context.settings().lapseMs();
+      boolean logHeard = state.restored() || nowMs > state.startedMs() + RESTORE_WAIT_MS;
+      if (!state.settled() && (allListed || lapsed) && logHeard) {
+        settleJobs(allListed);
       }
       runner.expire(nowMs);
     }
     pump();
   }
 
+  private void settleJobs(boolean allListed) {
+    state.settle();
+    someUnasked = !allListed;
+    for (Job job : List.copyOf(jobs.all())) {
+      settleJob(job);
+      intake.enqueue(job);
+    }
+  }
+
+  private void settleJob(Job job) {
+    if (someUnasked) {
+      job.suspectRun();
+    }
+    runner.settle(job);
+  }
+
   /** Takes in the jobs that the log knows. */
   void restore(Collection<LedgerJob> known) {
     synchronized (lock) {
       if (state.closed()) {
         return;
       }
-      known.forEach(job -> intake.restore(job, settled));
-      restored = true;
+      known.forEach(job -> intake.restore(job, state.settled()));
+      state.restore();
+      if (state.settled()) {
+        List.copyOf(jobs.all()).forEach(this::settleJob);
+      }
     }
     pump();
   }
@@ -281,7 +303,7 @@
 
   boolean settled() {
     synchronized (lock) {
-      return settled;
+      return state.settled();
     }
   }
 
@@ -289,7 +311,7 @@
     List<Runnable> calls;
     synchronized (lock) {
       followPolicy();
-      if (settled && !state.closed() && context.hasAuthority()) {
+      if (state.settled() && !state.closed() && context.hasAuthority()) {
         for (Decision decision : context.scheduler().decide(context.clockMs().getAsLong())) {
           runner.carryOut(decision);
         }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
@@ -22,6 +22,8 @@
   private final long startedMs;
   private final JobTable jobs = new JobTable();
   private boolean closed;
+  private boolean settled;
+  private boolean restored;
   private List<Runnable> calls = new ArrayList<>();
 
   CellState(CellContext context, Object lock, Runnable pump) {
@@ -65,6 +67,27 @@
     closed = true;
   }
 
+  /**
+   * Tells whether it is known what an earlier coordinator has started. Until then a task that
+   * nobody has listed yet may run.
+   */
+  boolean settled() {
+    return settled;
+  }
+
+  void settle() {
+    settled = true;
+  }
+
+  /** Tells whether the jobs that the log holds are known. */
+  boolean restored() {
+    return restored;
+  }
+
+  void restore() {
+    restored = true;
+  }
+
   /** Notes a call that is to go out once the lock is free. */
   void later(Runnable call) {
     calls.add(call);
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Coordinator.java
@@ -210,20 +210,14 @@
     workers.askProfiles();
     long nowMs = clockMs.getAsLong();
     Cell cell;
-    boolean allListed = false;
     synchronized (lock) {
       refreshAuthority();
       stepElection(nowMs, added);
       cell = term == null ? null : term.cell();
-      if (cell != null && term != null) {
-        Term current = term;
-        allListed =
-            workers.agents().stream().allMatch(agent -> current.hasListed(agent.workerId()));
-      }
     }
     if (cell != null) {
       tellLost(cell, nowMs);
-      cell.tick(allListed);
+      cell.tick(workers.agents().stream().map(WorkerAgent::workerId).toList());
     }
     workers.agents().forEach(WorkerAgent::step);
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Job.java
@@ -31,6 +31,7 @@
   private final CompletableFuture<Void> acceptance = new CompletableFuture<>();
   private boolean queued;
   private boolean wanted;
+  private boolean mayHaveRun;
   private long endedMs;
 
   Job(String jobId, JobSpec spec, long acceptedMs) {
@@ -132,6 +133,15 @@
     queued = given;
   }
 
+  /** Tells whether a worker that could not be asked may have run the job in an earlier term. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  void suspectRun() {
+    mayHaveRun = true;
+  }
+
   void await(CompletableFuture<JobAnswer> waiter) {
     waiters.add(waiter);
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
@@ -23,13 +23,13 @@
   }
 
   /** Records a new job, and queues it once its record allows. */
-  void record(Job job, boolean settled, boolean restored) {
+  void record(Job job) {
     job.want();
     if (!job.spec().repeatable()) {
-      claim(job, restored);
+      claim(job, state.restored());
       return;
     }
-    if (settled) {
+    if (state.settled()) {
       enqueue(job);
     }
     state.later(
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/TaskRunner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/TaskRunner.java
@@ -54,7 +54,7 @@
     state.unplace(task);
     task.phase(Phase.WAITING);
     if (job.cancelled()) {
-      task.phase(attempt.attempt() == 1 ? Phase.NOT_RUN : Phase.FAILED);
+      task.phase(attempt.attempt() == 1 ? neverStarted(job) : Phase.FAILED);
     }
     state.scheduler().taskEnded(attempt, new TaskEnd(Outcome.NOT_STARTED, 0), state.nowMs());
     if (!job.cancelled()) {
@@ -88,7 +88,7 @@
     state.scheduler().cancel(job.jobId());
     for (JobTask task : job.tasks()) {
       if (task.phase() == Phase.WAITING) {
-        task.phase(task.attempt() == null ? Phase.NOT_RUN : Phase.FAILED);
+        task.phase(task.attempt() == null ? neverStarted(job) : Phase.FAILED);
       } else if (task.phase().mayRun()) {
         stopper.stop(task);
       }
@@ -96,6 +96,38 @@
     state.completeIfEnded(job);
   }
 
+  /** Returns where a task stands that was not started by this coordinator and is not to be. */
+  private Phase neverStarted(Job job) {
+    if (!state.settled()) {
+      return Phase.IN_DOUBT;
+    }
+    return job.mayHaveRun() ? Phase.FAILED : Phase.NOT_RUN;
+  }
+
+  /** Ends what could not be ended before it was known what an earlier coordinator started. */
+  void settle(Job job) {
+    if (job.ended()) {
+      return;
+    }
+    for (JobTask task : job.tasks()) {
+      boolean cancelled = job.cancelled() && !job.maybeClaimed();
+      if (cancelled && task.phase() == Phase.IN_DOUBT && task.attempt() == null) {
+        task.phase(neverStarted(job));
+      } else if (state.restored() && !job.wanted() && wasStoppedEarlier(task)) {
+        task.phase(Phase.FAILED);
+        job.reason(
+            new Reason(
+                ReasonType.CANCELLED,
+                "An earlier coordinator stopped it, and the log does not hold the job."));
+      }
+    }
+    state.completeIfEnded(job);
+  }
+
+  private static boolean wasStoppedEarlier(JobTask task) {
+    return task.phase() == Phase.WAITING && task.attempt() != null && task.stopping();
+  }
+
   void synced(WorkerAgent agent, long sentMs, SyncReply reply) {
     lists.take(agent, sentMs, reply);
   }
@@ -115,7 +147,11 @@
         .scheduler()
         .taskEnded(attempt, new TaskEnd(outcome(ended.outcome()), ended.ranMs()), state.nowMs());
     if (task.phase() == Phase.WAITING) {
+      task.stopping(ended.outcome() == EndOutcome.STOPPED);
       breakUp(job);
+      if (state.settled()) {
+        settle(job);
+      }
     }
     JobState after = task.status().state();
     state.later(() -> recordEnd(job, attempt, after, agent, ended));
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Term.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Term.java
@@ -1,9 +1,7 @@
 package org.hickorymoor.daemon.coordinator;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.hickorymoor.protocol.platform.SyncReply;
 import org.jspecify.annotations.Nullable;
 
@@ -21,7 +19,6 @@
 
   private final long candidateMs;
   private final Map<String, FirstList> firstLists = new HashMap<>();
-  private final Set<String> listed = new HashSet<>();
   private @Nullable Cell cell;
 
   Term(long candidateMs) {
@@ -41,7 +38,6 @@
   }
 
   void listed(WorkerAgent agent, long sentMs, SyncReply reply) {
-    listed.add(agent.workerId());
     firstLists.putIfAbsent(agent.workerId(), new FirstList(agent, sentMs, reply));
   }
 
@@ -50,8 +46,4 @@
     firstLists.clear();
     return taken;
   }
-
-  boolean hasListed(String workerId) {
-    return listed.contains(workerId);
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerLists.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/WorkerLists.java
@@ -154,7 +154,8 @@
   private void endedEarlier(WorkerAgent agent, EndedTask ended, Labels labels) {
     Job job = jobOf(labels);
     JobTask task = job.tasks().get(labels.attempt().index());
-    boolean open = !job.queued() && task.phase() == Phase.WAITING;
+    boolean untouched = task.phase() == Phase.IN_DOUBT && task.attempt() == null;
+    boolean open = !job.queued() && (task.phase() == Phase.WAITING || untouched);
     if (!open) {
       agent.acknowledge(ended.taskId());
       return;
