Place a job while it is on its way to the store

Ruled out: room (all batch jobs were on time).

Change: the host that takes a job tells the coordinator of it at once and again when it is stored. The coordinator asks for approvals, places it and stores the placement meanwhile; orders are held until the job is stored. A job that is never stored is dropped after 5 s. An order whose run was taken for gone while its placement was being stored is no longer sent.

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -121,6 +121,16 @@
    */
   record RelaySubmission(String key, ByteBuffer value) implements PeerRequest {}
 
+  /**
+   * Tells the coordinator of a job on its way to the store, so that it is placed meanwhile;
+   * answered by {@link PeerReply.Done}.
+   *
+   * @param key key of the job's record
+   * @param value content of the record
+   * @param stored whether the store has taken it; nothing is started before
+   */
+  record AnnounceSubmission(String key, ByteBuffer value, boolean stored) implements PeerRequest {}
+
   /**
    * Asks the coordinator how far a job is; answered by {@link PeerReply.WorkloadReply}.
    *
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.hickorymoor.daemon.peer.PeerRequest.AnnounceSubmission;
 import org.hickorymoor.daemon.peer.PeerRequest.AskApproval;
 import org.hickorymoor.daemon.peer.PeerRequest.CancelJob;
 import org.hickorymoor.daemon.peer.PeerRequest.DrainWorker;
@@ -51,6 +52,12 @@
               (out, fetch) -> out.packString(fetch.domain()),
               in -> new FetchIntents(in.unpackString()))
           .add(12, 2, RelaySubmission.class, RequestCodec::writeRelay, RequestCodec::readRelay)
+          .add(
+              16,
+              3,
+              AnnounceSubmission.class,
+              RequestCodec::writeAnnounce,
+              RequestCodec::readAnnounce)
           .add(
               13,
               1,
@@ -69,14 +76,32 @@
 
   private static void writeRelay(MessagePacker out, RelaySubmission relay) throws IOException {
     out.packString(relay.key());
-    byte[] value = Bytes.of(relay.value());
+    writeBytes(out, relay.value());
+  }
+
+  private static RelaySubmission readRelay(MessageUnpacker in) throws IOException {
+    return new RelaySubmission(in.unpackString(), readBytes(in));
+  }
+
+  private static void writeAnnounce(MessagePacker out, AnnounceSubmission announced)
+      throws IOException {
+    out.packString(announced.key());
+    writeBytes(out, announced.value());
+    out.packBoolean(announced.stored());
+  }
+
+  private static AnnounceSubmission readAnnounce(MessageUnpacker in) throws IOException {
+    return new AnnounceSubmission(in.unpackString(), readBytes(in), in.unpackBoolean());
+  }
+
+  private static void writeBytes(MessagePacker out, ByteBuffer bytes) throws IOException {
+    byte[] value = Bytes.of(bytes);
     out.packBinaryHeader(value.length);
     out.writePayload(value);
   }
 
-  private static RelaySubmission readRelay(MessageUnpacker in) throws IOException {
-    return new RelaySubmission(
-        in.unpackString(), ByteBuffer.wrap(in.readPayload(in.unpackBinaryHeader())));
+  private static ByteBuffer readBytes(MessageUnpacker in) throws IOException {
+    return ByteBuffer.wrap(in.readPayload(in.unpackBinaryHeader()));
   }
 
   private static void writeAsk(MessagePacker out, AskApproval ask) throws IOException {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
@@ -22,7 +22,6 @@
   private final KeyedLogPort log;
   private final ShardSettings settings;
   private volatile List<String> addresses;
-  private boolean registered;
   private boolean stopped;
 
   HostRegistry(ShardLoop loop, KeyedLogPort log, ShardSettings settings) {
@@ -59,8 +58,7 @@
     loop.then(
         write(record()),
         (offset, failure) -> {
-          registered = failure == null;
-          if (registered) {
+          if (failure == null) {
             logger.atInfo().log("hosts: Registered as %s.", settings.peerAddress());
             refresh();
           } else {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -161,16 +161,37 @@
    */
   public CompletableFuture<Stored> submit(Submission submission, long withinMs) {
     String key = SubmissionKeys.submitted(submission.jobId());
-    return store(key, WorkloadCodec.encode(submission), withinMs)
+    byte[] value = WorkloadCodec.encode(submission);
+    announce(key, value, false);
+    return store(key, value, withinMs)
         .thenApply(
             stored -> {
               if (stored == Stored.YES) {
                 recent.add(submission.jobId());
+                announce(key, value, true);
               }
               return stored;
             });
   }
 
+  /** Has the coordinator place a job while it is being stored; nothing depends on its arrival. */
+  private void announce(String key, byte[] value, boolean stored) {
+    loop.execute(
+        () -> {
+          Coordinator coordinator = ownership.current();
+          ShardOwner coordinating = owner;
+          if (coordinating != null) {
+            coordinating.announced(key, value, stored);
+          } else if (coordinator != null && !ownership.isSelf()) {
+            var unused =
+                peers.call(
+                    coordinator.address(),
+                    new PeerRequest.AnnounceSubmission(key, ByteBuffer.wrap(value), stored),
+                    ASK_TIMEOUT_MS);
+          }
+        });
+  }
+
   /**
    * Stores the cancellation of a job.
    *
@@ -413,6 +434,16 @@
                       : new PeerReply.Refused(
                           PeerErrorType.OVERLOADED, "no advice: " + failure.getMessage()));
     }
+    if (request instanceof PeerRequest.AnnounceSubmission announced) {
+      byte[] value = Bytes.of(announced.value());
+      loop.execute(
+          () -> {
+            if (owner != null) {
+              owner.announced(announced.key(), value, announced.stored());
+            }
+          });
+      return completedFuture(new PeerReply.Done());
+    }
     CompletableFuture<PeerReply> result = new CompletableFuture<>();
     loop.execute(() -> result.complete(answer(request)));
     return result;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -60,14 +60,28 @@
   /** Share of a worker that work of low priority leaves free for urgent work. */
   private static final double URGENT_SHARE = 0.06;
 
+  /**
+   * A host gives a request up within 3 s, and its append may still be on its way; a job that comes
+   * later is taken in from the store.
+   */
+  private static final long ANNOUNCED_MS = 5_000;
+
+  private static final long NO_OFFSET = -1;
+
+  /** A record without content drops its key. */
+  private static final byte[] NO_CONTENT = {};
+
   /** A job and what is known of it beyond its progress. */
   private static final class Job {
     private final JobProgress progress;
+    private final List<Runnable> heldOrders = new ArrayList<>();
     private WorkloadState storedState;
     private long pausedUntilNs;
+    private boolean accepted;
 
-    Job(JobProgress progress) {
+    Job(JobProgress progress, boolean accepted) {
       this.progress = progress;
+      this.accepted = accepted;
       this.storedState = progress.state();
     }
 
@@ -239,11 +253,36 @@
       return;
     }
     note(jobId, lane, stored.key());
-    if (jobs.containsKey(jobId) || ended.containsKey(jobId)) {
+    take(jobId, stored, true);
+  }
+
+  /**
+   * Takes in a job that a host is about to store, or has just stored. It is placed at once, but
+   * nothing is started before it is stored.
+   *
+   * @param key key of its record
+   * @param value content of its record
+   * @param isStored whether the store has taken it
+   */
+  void announced(String key, byte[] value, boolean isStored) {
+    String jobId = SubmissionKeys.submittedJob(key);
+    if (ready && !closed && jobId != null) {
+      take(jobId, new Stored(NO_OFFSET, key, value), isStored);
+    }
+  }
+
+  private void take(String jobId, Stored stored, boolean isAccepted) {
+    Job known = jobs.get(jobId);
+    if (known != null && isAccepted && !known.accepted) {
+      known.accepted = true;
+      List.copyOf(known.heldOrders).forEach(Runnable::run);
+      known.heldOrders.clear();
+    }
+    if (known != null || ended.containsKey(jobId)) {
       return;
     }
     try {
-      accept(jobId, stored);
+      accept(jobId, stored, isAccepted);
     } catch (MalformedRecordException e) {
       logger.atWarning().withCause(e).log(
           "shard: Submission %s at offset %d can't be read.", jobId, stored.offset());
@@ -257,7 +296,8 @@
     }
   }
 
-  private void accept(String jobId, Stored stored) throws MalformedRecordException {
+  private void accept(String jobId, Stored stored, boolean isAccepted)
+      throws MalformedRecordException {
     Submission submission = WorkloadCodec.decodeSubmission(stored.value());
     JobProgress progress = new JobProgress(submission);
     byte[] record = progressRecords.get(jobId);
@@ -269,8 +309,11 @@
       endedSubmissions.ended(jobId);
       return;
     }
-    Job job = new Job(progress);
+    Job job = new Job(progress, isAccepted);
     jobs.put(jobId, job);
+    if (!isAccepted) {
+      loop.schedule(ANNOUNCED_MS, () -> dropUnlessAccepted(job));
+    }
     progress.beginDue(loop.nowMs());
     if (ready) {
       logger.atInfo().log(
@@ -284,6 +327,25 @@
     passSoon();
   }
 
+  /** Forgets a job that never reached the store; nothing of it was started. */
+  private void dropUnlessAccepted(Job job) {
+    if (closed || job.accepted || jobs.get(job.id()) != job) {
+      return;
+    }
+    logger.atInfo().log("job: %s was announced and not stored, dropped.", job.id());
+    for (TaskSlot slot : job.progress.placed()) {
+      WorkerSession session = sessions.get(String.valueOf(slot.workerId()));
+      if (session != null) {
+        session.withdraw(slot);
+      }
+    }
+    jobs.remove(job.id());
+    pending.remove(job);
+    approvals.forget(job.id());
+    ledger.touch(job.id(), () -> NO_CONTENT);
+    passSoon();
+  }
+
   private void cancel(String jobId) {
     if (ended.containsKey(jobId)) {
       return;
@@ -544,7 +606,8 @@
   int waiting(String queue) {
     int waiting = 0;
     for (Job job : jobs.values()) {
-      if (job.progress.state() == WorkloadState.QUEUED
+      if (job.accepted
+          && job.progress.state() == WorkloadState.QUEUED
           && job.progress.submission().policy().queue().equals(queue)) {
         waiting++;
       }
@@ -712,6 +775,13 @@
   }
 
   private void send(Job job, WorkerSession session, Placement placement, @Nullable String ticket) {
+    if (!session.holds(placement)) {
+      return;
+    }
+    if (!job.accepted && !closed) {
+      job.heldOrders.add(() -> send(job, session, placement, ticket));
+      return;
+    }
     if (closed || placement.isStopping() || job.progress.state().isFinal()) {
       session.withdraw(placement);
       if (!closed) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -208,10 +208,6 @@
     return synced && failures == 0 && listed && !facts.draining() && !room.isSick();
   }
 
-  boolean isListed() {
-    return listed;
-  }
-
   Iterable<Placement> placements() {
     return List.copyOf(placements.values());
   }
@@ -236,6 +232,19 @@
     remove(placement);
   }
 
+  /** Takes back the run of a task whose order was never sent. */
+  void withdraw(TaskSlot slot) {
+    Placement placement = placements.get(slot.id().toString());
+    if (placement != null && placement.run == slot.run()) {
+      remove(placement);
+    }
+  }
+
+  /** Returns whether a run still has its room here; it loses it when it is taken for gone. */
+  boolean holds(Placement placement) {
+    return !closed && isCurrent(placement);
+  }
+
   /** Sends the order for a run. */
   void start(Placement placement, String payload, @Nullable String ticket) {
     long untilMs = leaseUntilMs();
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
@@ -24,7 +24,7 @@
     T run() throws PlatformException;
   }
 
-  private static final long ANSWER_MS = 4;
+  private static final long USUAL_ANSWER_MS = 4;
   private static final long LATE_MAX_MS = 5_000;
 
   private static final class Part {
@@ -40,6 +40,7 @@
   private final Map<LogPart, Part> parts = new EnumMap<>(LogPart.class);
   private final Set<String> turnedAway = new HashSet<>();
   private boolean silent;
+  private long answerMs = USUAL_ANSWER_MS;
   private double lostShare;
   private double lateShare;
 
@@ -50,6 +51,11 @@
     }
   }
 
+  /** Makes each call take this long. */
+  void answerMs(long takesMs) {
+    answerMs = takesMs;
+  }
+
   void silent(boolean on) {
     silent = on;
   }
@@ -77,6 +83,11 @@
     add(part(where), new KeyedLogPort.Entry(key, value));
   }
 
+  /** Returns the keys of all records of a part that are kept. */
+  List<String> keys(LogPart where) {
+    return List.copyOf(part(where).newest.keySet());
+  }
+
   /** Returns the keys of all submissions and cancellations that are kept. */
   List<String> submissions() {
     return LogPart.submissionLanes().stream()
@@ -122,7 +133,7 @@
               future.completeExceptionally(
                   new PlatformException(Type.NO_ANSWER, "no answer in " + timeoutMs + " ms")));
       time.after(
-          ANSWER_MS,
+          answerMs,
           () -> {
             if (silent) {
               return;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -3,9 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.hickorymoor.daemon.shard.SimulatedCell.step;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Objects;
+import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.daemon.port.LogPart;
 import org.hickorymoor.domain.workload.EndKind;
+import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.WorkloadSpec;
 import org.hickorymoor.domain.workload.WorkloadState;
 import org.junit.jupiter.api.Test;
 
@@ -265,4 +270,47 @@
     assertThat(cell.awaitState(other, "cancelled", WorkloadState.CANCELLED, 20_000)).isTrue();
     assertThat(cell.workers.starts()).isEqualTo(starts);
   }
+
+  /**
+   * Load pattern: the store takes 300 ms for each call, seventy times its usual. A job must start
+   * within the 600 ms that its queue allows beyond the work.
+   */
+  @Test
+  void jobIsPlacedWhileItIsStoredSoThatSlowStoreDelaysItOnce() {
+    final String first = awaitCoordinator();
+    cell.time.pass(2_000);
+    cell.store.answerMs(300);
+    cell.time.pass(2_000);
+
+    cell.submit(anotherThan(first), "job", step(2, List.of(), false));
+
+    assertThat(cell.time.passUntil(600, () -> cell.workers.starts() == 2)).isTrue();
+  }
+
+  @Test
+  void announcedJobThatIsNeverStoredNeverStartsAndLeavesNothing() {
+    final String first = awaitCoordinator();
+    cell.time.pass(2_000);
+    Submission job =
+        new Submission(
+            "job",
+            0,
+            SimulatedCell.POLICY,
+            new WorkloadSpec("payload", List.of(step(8, List.of(), false)), 0, 0, 0));
+    var unused =
+        cell.shard(first)
+            .handle(
+                new PeerRequest.AnnounceSubmission(
+                    SubmissionKeys.submitted("job"),
+                    ByteBuffer.wrap(WorkloadCodec.encode(job)),
+                    false));
+    cell.time.pass(1_000);
+    assertThat(cell.store.keys(LogPart.LEDGER)).contains("job");
+
+    assertThat(cell.time.passUntil(10_000, () -> !cell.store.keys(LogPart.LEDGER).contains("job")))
+        .isTrue();
+    assertThat(cell.workers.starts()).isEqualTo(0);
+    cell.submit(first, "other", step(8, List.of(), false));
+    assertThat(cell.awaitState(first, "other", WorkloadState.COMPLETED, 10_000)).isTrue();
+  }
 }
