Follow a slow append with the next and repeat one whose answer is late

Cause: the ledger had one append in flight.

Repeated sends of submissions, too, which are keyed by job. The store's answer that a number was left out is no longer taken for the end of the epoch.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
@@ -27,6 +27,9 @@
     /** A writer with a newer epoch has taken over; the call had no effect. */
     FENCED,
 
+    /** An earlier append of the same writer has not arrived yet; the call had no effect. */
+    OUT_OF_ORDER,
+
     /** The partition does not end where the caller expected; the call had no effect. */
     CONFLICT,
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
@@ -3,10 +3,13 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
@@ -18,8 +21,10 @@
 /**
  * Stores the progress of jobs under the epoch of the coordinator, many changes to an append.
  *
- * <p>One append is in flight at a time. It is repeated with the same sequence number until the
- * store answers it, so that it takes effect exactly once. Belongs to the thread of the loop.
+ * <p>While the store is well, one append is in flight at a time and collects what changes
+ * meanwhile. When it is slow, the next ones follow without waiting, numbered in sequence. Each is
+ * repeated with its number until the store answers it, so that it takes effect exactly once. Tasks
+ * that wait for an append run in the order of the appends. Belongs to the thread of the loop.
  */
 final class LedgerWriter {
 
@@ -28,9 +33,30 @@
   /** Keeps an append below the store's limit of 2 MB. */
   private static final int MAX_BATCH_BYTES = 1_500_000;
 
+  /** Appends in flight; the store recognises repeats of a writer's last five. */
+  private static final int MAX_IN_FLIGHT = 4;
+
+  /** Five times the usual answer of the store; later than this it is slow. */
+  private static final long NEXT_AFTER_MS = 25;
+
   /** Key of the record that opens an epoch; no job has it. */
   private static final String EPOCH_KEY = "epoch";
 
+  /** An append on its way. */
+  private static final class Batch {
+    private final long sequence;
+    private final List<Entry> entries;
+    private final List<Runnable> afterwards;
+    private boolean stored;
+    private boolean sentAsOldest;
+
+    Batch(long sequence, List<Entry> entries, List<Runnable> afterwards) {
+      this.sequence = sequence;
+      this.entries = entries;
+      this.afterwards = new ArrayList<>(afterwards);
+    }
+  }
+
   private final ShardLoop loop;
   private final ShardMetrics metrics;
   private final KeyedLogPort log;
@@ -38,9 +64,11 @@
   private final long epoch;
   private final Runnable onFenced;
   private final Map<String, Supplier<byte[]>> dirty = new LinkedHashMap<>();
+  private final Deque<Batch> inFlight = new ArrayDeque<>();
   private List<Runnable> waiting = new ArrayList<>();
-  private long sequence;
-  private boolean inFlight;
+  private long nextSequence;
+  private long sentNs;
+  private boolean flushScheduled;
   private boolean closed;
   private @Nullable PlatformException outage;
 
@@ -70,11 +98,7 @@
     closed = true;
     dirty.clear();
     waiting.clear();
-  }
-
-  /** Returns whether the store has not answered the last append. */
-  boolean isOut() {
-    return outage != null;
+    inFlight.clear();
   }
 
   /** Notes that the record of a key has changed; its content is taken when it is sent. */
@@ -90,89 +114,123 @@
   }
 
   private void flushSoon() {
-    if (!inFlight && !closed) {
-      inFlight = true;
+    if (flushScheduled || closed || inFlight.size() >= MAX_IN_FLIGHT) {
+      return;
+    }
+    flushScheduled = true;
+    if (inFlight.isEmpty()) {
       loop.execute(this::flush);
+      return;
     }
+    long sinceMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - sentNs);
+    loop.schedule(Math.max(1, NEXT_AFTER_MS - sinceMs), this::flush);
   }
 
   private void flush() {
-    if (closed) {
+    flushScheduled = false;
+    if (closed || inFlight.size() >= MAX_IN_FLIGHT) {
       return;
     }
-    List<Entry> batch = new ArrayList<>();
+    List<Entry> entries = new ArrayList<>();
     int bytes = 0;
     var keys = dirty.entrySet().iterator();
     while (keys.hasNext() && bytes < MAX_BATCH_BYTES) {
       var next = keys.next();
       byte[] content = next.getValue().get();
-      batch.add(new Entry(next.getKey(), content));
+      entries.add(new Entry(next.getKey(), content));
       bytes += content.length + next.getKey().length();
       keys.remove();
     }
-    List<Runnable> stored = List.of();
+    List<Runnable> afterwards = List.of();
     if (dirty.isEmpty()) {
-      stored = waiting;
+      afterwards = waiting;
       waiting = new ArrayList<>();
     }
-    if (batch.isEmpty()) {
-      inFlight = false;
-      stored.forEach(Runnable::run);
-      return;
+    Batch newest = inFlight.peekLast();
+    if (!entries.isEmpty()) {
+      Batch batch = new Batch(nextSequence++, entries, afterwards);
+      inFlight.add(batch);
+      sentNs = loop.nowNs();
+      send(batch);
+    } else if (newest != null) {
+      newest.afterwards.addAll(afterwards);
+    } else {
+      afterwards.forEach(Runnable::run);
+    }
+    if (!dirty.isEmpty() || !waiting.isEmpty()) {
+      flushSoon();
     }
-    send(batch, stored);
   }
 
-  private void send(List<Entry> batch, List<Runnable> stored) {
-    Writer writer = new Writer(writerName, epoch, sequence);
-    final long sentNs = loop.nowNs();
+  private void send(Batch batch) {
+    if (closed || batch.stored) {
+      return;
+    }
+    batch.sentAsOldest = inFlight.peekFirst() == batch;
+    Writer writer = new Writer(writerName, epoch, batch.sequence);
+    final long beganNs = loop.nowNs();
     loop.then(
-        log.append(
-            LogPart.LEDGER, batch, writer, KeyedLogPort.ANY_OFFSET, ShardSettings.STORE_TIMEOUT_MS),
+        RepeatedAppend.send(
+            loop,
+            () ->
+                log.append(
+                    LogPart.LEDGER,
+                    batch.entries,
+                    writer,
+                    KeyedLogPort.ANY_OFFSET,
+                    ShardSettings.STORE_TIMEOUT_MS)),
         (offset, failure) -> {
+          if (closed || batch.stored) {
+            return;
+          }
           if (failure == null) {
-            metrics.ledgerStored(loop.nowNs() - sentNs);
+            metrics.ledgerStored(loop.nowNs() - beganNs);
+            onStored(batch);
+          } else {
+            onFailed(batch, failure);
           }
-          answered(batch, stored, failure);
         });
   }
 
-  private void answered(
-      List<Entry> batch, List<Runnable> stored, @Nullable PlatformException failure) {
-    if (closed) {
-      return;
+  private void onStored(Batch batch) {
+    if (outage != null) {
+      logger.atInfo().log("ledger: Store is back, epoch %d, sequence %d.", epoch, batch.sequence);
+      outage = null;
     }
-    if (failure == null) {
-      if (outage != null) {
-        logger.atInfo().log("ledger: Store is back, epoch %d, sequence %d.", epoch, sequence);
-        outage = null;
+    // The store takes a writer's appends in sequence, so that it has all before this one as well.
+    for (Batch earlier : inFlight) {
+      if (earlier.sequence <= batch.sequence) {
+        earlier.stored = true;
       }
-      sequence++;
-      inFlight = false;
-      stored.forEach(Runnable::run);
-      if (!dirty.isEmpty() || !waiting.isEmpty()) {
-        flushSoon();
-      }
-      return;
     }
-    if (failure.type() == PlatformException.Type.FENCED) {
+    for (Batch oldest = inFlight.peekFirst();
+        oldest != null && oldest.stored;
+        oldest = inFlight.peekFirst()) {
+      inFlight.remove();
+      oldest.afterwards.forEach(Runnable::run);
+    }
+    if (!dirty.isEmpty() || !waiting.isEmpty()) {
+      flushSoon();
+    }
+  }
+
+  private void onFailed(Batch batch, PlatformException failure) {
+    boolean overtook = failure.type() == PlatformException.Type.OUT_OF_ORDER && !batch.sentAsOldest;
+    boolean fenced =
+        failure.type() == PlatformException.Type.FENCED
+            || (failure.type() == PlatformException.Type.OUT_OF_ORDER && batch.sentAsOldest);
+    if (fenced) {
       logger.atInfo().log("ledger: Epoch %d is over: %s", epoch, failure.getMessage());
       close();
       onFenced.run();
       return;
     }
-    if (outage == null) {
+    if (outage == null && !overtook) {
       outage = failure;
       logger.atWarning().log(
           "ledger: Store does not answer, epoch %d, sequence %d: %s",
-          epoch, sequence, failure.getMessage());
-    }
-    loop.schedule(ShardSettings.STORE_RETRY_MS, () -> resend(batch, stored));
-  }
-
-  private void resend(List<Entry> batch, List<Runnable> stored) {
-    if (!closed) {
-      send(batch, stored);
+          epoch, batch.sequence, failure.getMessage());
     }
+    loop.schedule(ShardSettings.STORE_RETRY_MS, () -> send(batch));
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
@@ -93,7 +93,8 @@
     inFlight++;
     List<Entry> entries = batch.stream().map(Pending::entry).toList();
     loop.then(
-        log.append(lane, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs),
+        RepeatedAppend.send(
+            loop, () -> log.append(lane, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
         (offset, failure) -> {
           inFlight--;
           report(failure);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
@@ -25,6 +25,10 @@
   }
 
   private static final long USUAL_ANSWER_MS = 4;
+
+  /** The platform recognises repeats of the last five appends of a writer. */
+  private static final int REPEATS_KNOWN = 5;
+
   private static final long LATE_MAX_MS = 5_000;
 
   private static final class Part {
@@ -40,6 +44,7 @@
   private final Map<LogPart, Part> parts = new EnumMap<>(LogPart.class);
   private final Set<String> turnedAway = new HashSet<>();
   private boolean silent;
+  private int appends;
   private long answerMs = USUAL_ANSWER_MS;
   private double lostShare;
   private double lateShare;
@@ -51,6 +56,11 @@
     }
   }
 
+  /** Returns how many appends were sent. */
+  int appends() {
+    return appends;
+  }
+
   /** Makes each call take this long. */
   void answerMs(long takesMs) {
     answerMs = takesMs;
@@ -172,6 +182,7 @@
         @Nullable Writer writer,
         long expectedEnd,
         long timeoutMs) {
+      appends++;
       return call(true, timeoutMs, () -> doAppend(part(where), entries, writer, expectedEnd));
     }
 
@@ -185,12 +196,15 @@
         }
         if (writer.epoch() == epoch) {
           TreeMap<Long, Long> answered = part.answers.get(writer.name());
+          if (answered != null && answered.size() > REPEATS_KNOWN) {
+            answered.pollFirstEntry();
+          }
           Long before = answered == null ? null : answered.get(writer.sequence());
           if (before != null) {
             return before;
           }
           if (answered != null && writer.sequence() != answered.lastKey() + 1) {
-            throw new PlatformException(Type.FENCED, "sequence after " + answered.lastKey());
+            throw new PlatformException(Type.OUT_OF_ORDER, "sequence after " + answered.lastKey());
           }
         }
       }
