Keep coordinating until another host has taken over, and load side by side

Cause: a coordinator that was asked to stop ended its epoch at once. The successor then read ledger, submissions and workers one after the other, 0.8 s with a slow store.

Change: the heartbeats themselves say that the host leaves; it coordinates until it is fenced, and a process waits for that within its grace time. A host that reads that record first claims, too. Submissions and workers are read while the ledger is opened.

An answer now counts as late at four times what the store takes at present, and the ledger has two appends in flight, not four.

ShardTest: jobs that come during a planned stop start within 600 ms, with a store of 4 and of 100 ms; RepeatedAppendTest.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
@@ -33,8 +33,8 @@
   /** Keeps an append below the store's limit of 2 MB. */
   private static final int MAX_BATCH_BYTES = 1_500_000;
 
-  /** Appends in flight; the store recognises repeats of a writer's last five. */
-  private static final int MAX_IN_FLIGHT = 4;
+  /** A slow store takes appends one at a time, so that more only wait there. */
+  private static final int MAX_IN_FLIGHT = 2;
 
   /** Five times the usual answer of the store; later than this it is slow. */
   private static final long NEXT_AFTER_MS = 25;
@@ -60,6 +60,7 @@
   private final ShardLoop loop;
   private final ShardMetrics metrics;
   private final KeyedLogPort log;
+  private final AnswerTimes answerTimes = new AnswerTimes();
   private final String writerName;
   private final long epoch;
   private final Runnable onFenced;
@@ -172,6 +173,7 @@
     loop.then(
         RepeatedAppend.send(
             loop,
+            answerTimes,
             () ->
                 log.append(
                     LogPart.LEDGER,
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Ownership.java
@@ -55,7 +55,9 @@
   private @Nullable Coordinator self;
   private long nextOffset;
   private long sequence;
-  private boolean beating;
+  private boolean beatInFlight;
+  private long beatToken;
+  private boolean leaving;
   private long confirmedNs;
   private boolean candidate = true;
   private boolean firstLook = true;
@@ -94,42 +96,46 @@
     return confirmedNs + TimeUnit.MILLISECONDS.toNanos(ShardSettings.AUTHORITY_MS);
   }
 
-  /** Hands over if this host coordinates, and claims no more. */
+  /**
+   * Asks others to take over if this host coordinates, and claims no more. It coordinates until one
+   * of them has claimed, so that jobs don't wait for that.
+   */
   void leave() {
     left = true;
     candidate = false;
-    Coordinator leaving = self;
-    if (leaving == null) {
-      return;
-    }
-    depose("this host stops");
-    announceLeaving(leaving);
-  }
-
-  private void announceLeaving(Coordinator leaving) {
-    var unused =
-        log.append(
-            LogPart.OWNERSHIP,
-            List.of(new Entry(KEY, leaving.asLeaving().encode())),
-            new Writer(WRITER, leaving.epoch(), sequence),
-            KeyedLogPort.ANY_OFFSET,
-            ShardSettings.STORE_TIMEOUT_MS);
+    askForSuccessor("this host stops");
   }
 
   /**
-   * Hands over because this host has become slow, and claims nothing for a while. Another host that
-   * is no better hands over in turn.
+   * Asks others to take over because this host has become slow, and claims nothing for a while.
+   * Another host that is no better asks in turn.
    */
   void rest(String reason) {
-    Coordinator resting = self;
-    if (resting == null) {
+    if (self == null || leaving) {
       return;
     }
     candidate = false;
-    loop.schedule(REST_MS, () -> candidate = !left);
-    depose(reason);
-    announceLeaving(resting);
-    load();
+    loop.schedule(REST_MS, this::endRest);
+    askForSuccessor(reason);
+  }
+
+  private void endRest() {
+    if (!left) {
+      candidate = true;
+      leaving = false;
+    }
+  }
+
+  private void askForSuccessor(String reason) {
+    Coordinator asking = self;
+    if (asking == null || leaving) {
+      return;
+    }
+    logger.atInfo().log(
+        "ownership: Another host is asked to take over epoch %d: %s.", asking.epoch(), reason);
+    leaving = true;
+    beatToken++;
+    beat(asking, beatToken);
   }
 
   /** Ends everything. */
@@ -164,8 +170,8 @@
     Coordinator heard = current;
     boolean former = firstLook && heard != null && heard.hostId().equals(settings.hostId());
     firstLook = false;
-    if (heard == null || former) {
-      // This host coordinated in a former life, so nobody does now.
+    if (heard == null || former || heard.leaving()) {
+      // Where this host coordinated in a former life, nobody does now.
       claimSoon();
     } else {
       follow();
@@ -293,46 +299,44 @@
   }
 
   private void win(Coordinator claim, long sentNs) {
-    if (!candidate) {
-      self = claim;
-      leave();
-      return;
-    }
     logger.atInfo().log("ownership: This host coordinates, epoch %d.", claim.epoch());
     self = claim;
     current = claim;
     sequence = 1;
     confirmedNs = sentNs;
+    leaving = !candidate;
     listener.onElected(claim);
-    scheduleBeat(claim);
+    scheduleBeat(claim, ShardSettings.HEARTBEAT_MS);
   }
 
-  private void scheduleBeat(Coordinator claim) {
-    if (!beating) {
-      beating = true;
-      loop.schedule(ShardSettings.HEARTBEAT_MS, () -> beat(claim));
-    }
+  private void scheduleBeat(Coordinator claim, long delayMs) {
+    beatToken++;
+    long token = beatToken;
+    loop.schedule(delayMs, () -> beat(claim, token));
   }
 
-  private void beat(Coordinator claim) {
-    beating = false;
-    if (stopped || self != claim) {
+  private void beat(Coordinator claim, long token) {
+    if (stopped || self != claim || token != beatToken || beatInFlight) {
       return;
     }
-    beating = true;
+    beatInFlight = true;
     long sentNs = loop.nowNs();
+    boolean saysLeaving = leaving;
     loop.then(
         log.append(
             LogPart.OWNERSHIP,
-            List.of(new Entry(KEY, claim.encode())),
+            List.of(new Entry(KEY, (saysLeaving ? claim.asLeaving() : claim).encode())),
             new Writer(WRITER, claim.epoch(), sequence),
             KeyedLogPort.ANY_OFFSET,
             ShardSettings.HEARTBEAT_TIMEOUT_MS),
-        (offset, failure) -> onBeaten(claim, sentNs, failure));
+        (offset, failure) -> {
+          beatInFlight = false;
+          onBeaten(claim, sentNs, saysLeaving, failure);
+        });
   }
 
-  private void onBeaten(Coordinator claim, long sentNs, @Nullable PlatformException failure) {
-    beating = false;
+  private void onBeaten(
+      Coordinator claim, long sentNs, boolean saidLeaving, @Nullable PlatformException failure) {
     if (stopped || self != claim) {
       return;
     }
@@ -340,7 +344,7 @@
       storeAnswered();
       sequence++;
       confirmedNs = sentNs;
-      scheduleBeat(claim);
+      scheduleBeat(claim, saidLeaving == leaving ? ShardSettings.HEARTBEAT_MS : 0);
       return;
     }
     if (failure.type() == PlatformException.Type.FENCED) {
@@ -354,13 +358,13 @@
       load();
       return;
     }
-    beating = true;
-    loop.schedule(ShardSettings.STORE_RETRY_MS, () -> beat(claim));
+    scheduleBeat(claim, ShardSettings.STORE_RETRY_MS);
   }
 
   private void depose(String reason) {
     Coordinator was = self;
     self = null;
+    leaving = false;
     if (was != null) {
       logger.atInfo().log("ownership: Epoch %d ends here: %s.", was.epoch(), reason);
       listener.onDeposed(reason);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RepeatedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RepeatedAppend.java
@@ -15,16 +15,22 @@
 final class RepeatedAppend {
 
   /** Above the usual answer of 4 ms and the way to a far region and back, 60 ms. */
-  private static final long REPEAT_AFTER_MS = 150;
+  private static final long MIN_REPEAT_AFTER_MS = 150;
+
+  /** A slow store must not get every append twice, so an answer is late at four times the usual. */
+  private static final int USUAL_TIMES = 4;
 
   private final ShardLoop loop;
+  private final AnswerTimes times;
   private final Supplier<CompletableFuture<Long>> call;
   private final CompletableFuture<Long> result = new CompletableFuture<>();
   private int unanswered;
   private @Nullable PlatformException uncertain;
 
-  private RepeatedAppend(ShardLoop loop, Supplier<CompletableFuture<Long>> call) {
+  private RepeatedAppend(
+      ShardLoop loop, AnswerTimes times, Supplier<CompletableFuture<Long>> call) {
     this.loop = loop;
+    this.times = times;
     this.call = call;
   }
 
@@ -32,14 +38,17 @@
    * Appends.
    *
    * @param loop the thread to run on
+   * @param times how long the store takes at present; learns from this append
    * @param call sends the append
    * @return the first answer; fails with a {@link PlatformException} that tells whether any of the
    *     calls may have taken effect
    */
-  static CompletableFuture<Long> send(ShardLoop loop, Supplier<CompletableFuture<Long>> call) {
-    RepeatedAppend append = new RepeatedAppend(loop, call);
+  static CompletableFuture<Long> send(
+      ShardLoop loop, AnswerTimes times, Supplier<CompletableFuture<Long>> call) {
+    RepeatedAppend append = new RepeatedAppend(loop, times, call);
     append.sendOnce(true);
-    loop.schedule(REPEAT_AFTER_MS, append::repeat);
+    long afterMs = Math.max(MIN_REPEAT_AFTER_MS, USUAL_TIMES * times.usualMs());
+    loop.schedule(afterMs, append::repeat);
     return append.result;
   }
 
@@ -51,11 +60,13 @@
 
   private void sendOnce(boolean isFirst) {
     unanswered++;
+    long sentNs = loop.nowNs();
     loop.then(
         call.get(),
         (offset, failure) -> {
           unanswered--;
           if (failure == null) {
+            times.add(loop.nowNs() - sentNs);
             result.complete(offset);
           } else {
             onFailure(failure, isFirst);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -84,6 +84,7 @@
   private final RecentJobs recent = new RecentJobs(REMEMBERED_JOBS);
   private final LagWatch lagWatch;
   private @Nullable ShardOwner owner;
+  private volatile boolean coordinates;
 
   /**
    * Makes a shard that is not started.
@@ -133,7 +134,7 @@
     loop.execute(lagWatch::start);
   }
 
-  /** Hands the coordination over; requests are still taken. */
+  /** Asks another host to take the coordination over; requests are still taken. */
   public void leave() {
     loop.execute(
         () -> {
@@ -386,6 +387,11 @@
         });
   }
 
+  /** Tells whether this host still coordinates, as far as the caller's thread can see. */
+  public boolean holdsCoordination() {
+    return coordinates;
+  }
+
   /** Returns whether this host coordinates and has taken over; belongs to the loop's thread. */
   boolean isCoordinating() {
     ShardOwner coordinating = owner;
@@ -477,6 +483,7 @@
   private void closeOwner() {
     ShardOwner closing = owner;
     owner = null;
+    coordinates = false;
     if (closing != null) {
       closing.close();
     }
@@ -501,6 +508,7 @@
               metrics,
               ownership::giveUp);
       owner = starting;
+      coordinates = true;
       starting.start();
     }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -116,6 +116,9 @@
   private final List<Intake> intakes;
   private final EndedSubmissions endedSubmissions;
   private int lanesLoaded;
+  private boolean progressLoaded;
+  private List<Runnable> deferred = new ArrayList<>();
+  private Map<String, WorkerFacts> listedEarly = Map.of();
   private boolean ready;
   private boolean closed;
   private boolean passScheduled;
@@ -161,6 +164,8 @@
   /** Takes over from whoever coordinated before. */
   void start() {
     ledger.open(() -> loadProgress(null));
+    intakes.forEach(intake -> intake.start(this::onLaneLoaded));
+    catalog.start(this::onWorkers);
     loop.schedule(TICK_MS, this::tick);
   }
 
@@ -193,18 +198,21 @@
           if (page.hasMore()) {
             loadProgress(page.records().get(page.records().size() - 1).key());
           } else {
-            loadSubmissions();
+            progressLoaded = true;
+            deferred.forEach(Runnable::run);
+            deferred = List.of();
+            beginWorkIfLoaded();
           }
         });
   }
 
-  private void loadSubmissions() {
-    intakes.forEach(intake -> intake.start(this::onLaneLoaded));
-  }
-
   private void onLaneLoaded() {
     lanesLoaded++;
-    if (lanesLoaded == intakes.size()) {
+    beginWorkIfLoaded();
+  }
+
+  private void beginWorkIfLoaded() {
+    if (progressLoaded && lanesLoaded == intakes.size() && !ready) {
       beginWork();
     }
   }
@@ -217,8 +225,9 @@
     logger.atInfo().log(
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
         TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs), epoch, jobs.size(), ended.size());
-    catalog.start(this::onWorkers);
     endedSubmissions.start();
+    onWorkers(listedEarly);
+    listedEarly = Map.of();
     passSoon();
   }
 
@@ -239,6 +248,10 @@
   }
 
   private void takeIn(LogPart lane, Stored stored) {
+    if (!progressLoaded) {
+      deferred.add(() -> takeIn(lane, stored));
+      return;
+    }
     if (stored.value().length == 0) {
       return;
     }
@@ -376,6 +389,10 @@
     if (closed) {
       return;
     }
+    if (!ready) {
+      listedEarly = listed;
+      return;
+    }
     long firstLeaseEndsNs =
         electedNs
             + TimeUnit.MILLISECONDS.toNanos(
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
@@ -37,6 +37,7 @@
 
   private final ShardLoop loop;
   private final KeyedLogPort log;
+  private final AnswerTimes answerTimes = new AnswerTimes();
   private final LogPart lane;
   private final Entry probe;
   private List<Pending> queue = new ArrayList<>();
@@ -94,7 +95,9 @@
     List<Entry> entries = batch.stream().map(Pending::entry).toList();
     loop.then(
         RepeatedAppend.send(
-            loop, () -> log.append(lane, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
+            loop,
+            answerTimes,
+            () -> log.append(lane, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
         (offset, failure) -> {
           inFlight--;
           report(failure);
--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/RepeatedAppendTest.java
@@ -0,0 +1,86 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.port.PlatformException;
+import org.hickorymoor.daemon.port.PlatformException.Type;
+import org.junit.jupiter.api.Test;
+
+final class RepeatedAppendTest {
+
+  private final VirtualTime time = new VirtualTime(1);
+  private final ShardLoop loop = time.new HostLoop();
+  private final AnswerTimes times = new AnswerTimes();
+  private final List<CompletableFuture<Long>> calls = new ArrayList<>();
+
+  private CompletableFuture<Long> send() {
+    return RepeatedAppend.send(
+        loop,
+        times,
+        () -> {
+          CompletableFuture<Long> call = new CompletableFuture<>();
+          calls.add(call);
+          return call;
+        });
+  }
+
+  private void fail(int call, Type type) {
+    calls.get(call).completeExceptionally(new PlatformException(type, type.name()));
+    time.pass(1);
+  }
+
+  @Test
+  void lateAnswerIsAskedForAgainOnce() {
+    final CompletableFuture<Long> answer = send();
+    time.pass(2_000);
+    assertThat(calls).hasSize(2);
+
+    calls.get(1).complete(7L);
+    time.pass(1);
+    assertThat(answer.isDone()).isTrue();
+    assertThat(answer.join()).isEqualTo(7);
+  }
+
+  /** Load pattern: a store that takes half a second for each append gets none of them twice. */
+  @Test
+  void slowStoreGetsNothingTwiceOnceItIsKnownToBeSlow() {
+    for (int i = 0; i < 20; i++) {
+      int before = calls.size();
+      send();
+      time.pass(500);
+      calls.get(before).complete(1L);
+      time.pass(1);
+    }
+
+    assertThat(calls.size()).isAtMost(20 + 3);
+  }
+
+  @Test
+  void refusalOfRepeatDoesNotHideThatFirstCallMayHaveTakenEffect() {
+    final CompletableFuture<Long> answer = send();
+    time.pass(200);
+    fail(1, Type.REFUSED);
+    assertThat(answer.isDone()).isFalse();
+    fail(0, Type.NO_ANSWER);
+
+    answer.handle(
+        (offset, failure) -> {
+          assertThat(((PlatformException) failure).mayHaveTakenEffect()).isTrue();
+          return 0;
+        });
+    assertThat(answer.isCompletedExceptionally()).isTrue();
+  }
+
+  @Test
+  void refusalBeforeTheRepeatIsCertain() {
+    final CompletableFuture<Long> answer = send();
+    fail(0, Type.REFUSED);
+    time.pass(2_000);
+
+    assertThat(calls).hasSize(1);
+    assertThat(answer.isCompletedExceptionally()).isTrue();
+  }
+}
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -313,4 +313,30 @@
     cell.submit(first, "other", step(8, List.of(), false));
     assertThat(cell.awaitState(first, "other", WorkloadState.COMPLETED, 10_000)).isTrue();
   }
+
+  /**
+   * Load pattern: hosts are restarted one after the other while jobs come. A job must start within
+   * the 600 ms that its queue allows beyond the work, whenever it comes.
+   */
+  @Test
+  void plannedStopOfCoordinatorDelaysNoJob() {
+    for (long answerMs : new long[] {4, 100}) {
+      cell.store.answerMs(4);
+      final String first = awaitCoordinator();
+      final String other = anotherThan(first);
+      cell.time.pass(3_000);
+      cell.store.answerMs(answerMs);
+      cell.time.pass(1_000);
+
+      cell.shard(first).leave();
+
+      for (int i = 0; i < 20; i++) {
+        int before = cell.workers.starts();
+        cell.submit(other, "job-" + answerMs + "-" + i, step(1, List.of(), false));
+        assertThat(cell.time.passUntil(600, () -> cell.workers.starts() > before)).isTrue();
+      }
+      assertThat(cell.coordinator()).isNotEqualTo(first);
+    }
+    assertThat(cell.workers.violations()).isEmpty();
+  }
 }
