Keep the progress of jobs whose submission is read after a takeover

A coordinator starts a job as soon as the host that took it says that it is stored. If it dies then, its successor may have read the lane before; it dropped what the ledger said of jobs that it did not know, and took the job for new. With its workers out of reach the job ran twice.

ShardTest.successorReadsSubmissionLate... failed with two runs at a time. Change: that progress is kept until the submission is read, and its runs are adopted then. 120 seeds of random faults pass.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -220,7 +220,9 @@
   private void beginWork() {
     metrics.tookOver(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs));
     progressRecords.forEach(this::rememberEnded);
-    progressRecords = Map.of();
+    // The rest belongs to jobs whose submission is yet to be read.
+    progressRecords.keySet().removeAll(jobs.keySet());
+    progressRecords.keySet().removeAll(ended.keySet());
     ready = true;
     logger.atInfo().log(
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
@@ -313,7 +315,7 @@
       throws MalformedRecordException {
     Submission submission = WorkloadCodec.decodeSubmission(stored.value());
     JobProgress progress = new JobProgress(submission);
-    byte[] record = progressRecords.get(jobId);
+    byte[] record = progressRecords.remove(jobId);
     if (record != null) {
       WorkloadCodec.restore(progress, record);
     }
@@ -324,6 +326,7 @@
     }
     Job job = new Job(progress, isAccepted);
     jobs.put(jobId, job);
+    adoptPlacements(job, sessions.keySet());
     if (!isAccepted) {
       loop.schedule(ANNOUNCED_MS, () -> dropUnlessAccepted(job));
     }
@@ -432,15 +435,17 @@
   }
 
   private void adoptPlacements(Set<String> fresh) {
-    for (Job job : jobs.values()) {
-      for (TaskSlot slot : job.progress.placed()) {
-        String worker = slot.workerId();
-        if (worker != null && fresh.contains(worker)) {
-          WorkerSession session = sessionOf(worker);
-          session.adopt(slot);
-          if (job.progress.state().isFinal()) {
-            session.stop(slot);
-          }
+    jobs.values().forEach(job -> adoptPlacements(job, fresh));
+  }
+
+  private void adoptPlacements(Job job, Set<String> workers) {
+    for (TaskSlot slot : job.progress.placed()) {
+      String worker = slot.workerId();
+      if (worker != null && workers.contains(worker)) {
+        WorkerSession session = sessionOf(worker);
+        session.adopt(slot);
+        if (job.progress.state().isFinal()) {
+          session.stop(slot);
         }
       }
     }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -291,19 +291,7 @@
   void announcedJobThatIsNeverStoredNeverStartsAndLeavesNothing() {
     final String first = awaitCoordinator();
     cell.time.pass(2_000);
-    Submission job =
-        new Submission(
-            "job",
-            0,
-            SimulatedCell.POLICY,
-            new WorkloadSpec("payload", List.of(step(8, List.of(), false)), 0, 0, 0));
-    var unused =
-        cell.shard(first)
-            .handle(
-                new PeerRequest.AnnounceSubmission(
-                    SubmissionKeys.submitted("job"),
-                    ByteBuffer.wrap(WorkloadCodec.encode(job)),
-                    false));
+    announce(first, "job", 8, false);
     cell.time.pass(1_000);
     assertThat(cell.store.keys(LogPart.LEDGER)).contains("job");
 
@@ -314,6 +302,52 @@
     assertThat(cell.awaitState(first, "other", WorkloadState.COMPLETED, 10_000)).isTrue();
   }
 
+  @Test
+  void successorReadsSubmissionLateAndKnowsWhatItsPredecessorHasStarted() {
+    cell.workers.durations(() -> 6_000L);
+    final String first = awaitCoordinator();
+    cell.time.pass(2_000);
+    announce(first, "job", 4, false);
+    cell.time.pass(500);
+    announce(first, "job", 4, true);
+    cell.time.passUntil(1_000, () -> cell.workers.running().size() == 4);
+
+    cell.kill(first);
+    for (int i = 0; i < 4; i++) {
+      cell.workers.get("w" + i).cut(i % 2 == 0);
+    }
+    final String successor = awaitCoordinator();
+    cell.time.pass(1_000);
+    cell.store.put(
+        LogPart.submissionLanes().get(0), SubmissionKeys.submitted("job"), submission("job", 4));
+    cell.time.pass(1_000);
+    for (int i = 0; i < 4; i++) {
+      cell.workers.get("w" + i).cut(false);
+    }
+
+    assertThat(cell.awaitState(successor, "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  private static byte[] submission(String jobId, int tasks) {
+    return WorkloadCodec.encode(
+        new Submission(
+            jobId,
+            0,
+            SimulatedCell.POLICY,
+            new WorkloadSpec("payload", List.of(step(tasks, List.of(), false)), 0, 0, 0)));
+  }
+
+  private void announce(String host, String jobId, int tasks, boolean stored) {
+    var unused =
+        cell.shard(host)
+            .handle(
+                new PeerRequest.AnnounceSubmission(
+                    SubmissionKeys.submitted(jobId),
+                    ByteBuffer.wrap(submission(jobId, tasks)),
+                    stored));
+  }
+
   /**
    * Load pattern: hosts are restarted one after the other while jobs come. A job must start within
    * the 600 ms that its queue allows beyond the work, whenever it comes.
