Give each host a lane of its own and send one append of it at a time

Cause: with a slow store the parts take appends one at a time, some 150 ms each. Seven hosts shared four lanes by hash and each sent up to two appends and their repeats, so that at three times the usual jobs a lane got more than it can take; requests ran into their time limit.

Change: eight lanes, given out by the place of a host among all; one append of a host at a time, what comes meanwhile travels together; one repeat at a time.

Tried and taken back: leaving the appends of all hosts to the coordinator while the store is slow.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/LogPart.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/LogPart.java
@@ -12,6 +12,14 @@
   SUBMISSIONS_2,
   /** The fourth lane of submissions. */
   SUBMISSIONS_3,
+  /** The fifth lane of submissions. */
+  SUBMISSIONS_4,
+  /** The sixth lane of submissions. */
+  SUBMISSIONS_5,
+  /** The seventh lane of submissions. */
+  SUBMISSIONS_6,
+  /** The eighth lane of submissions. */
+  SUBMISSIONS_7,
   /** How far jobs are, written by the coordinator alone. */
   LEDGER,
   /** Which host coordinates, renewed by its heartbeats. */
@@ -24,7 +32,15 @@
   WORKERS;
 
   private static final List<LogPart> LANES =
-      List.of(SUBMISSIONS_0, SUBMISSIONS_1, SUBMISSIONS_2, SUBMISSIONS_3);
+      List.of(
+          SUBMISSIONS_0,
+          SUBMISSIONS_1,
+          SUBMISSIONS_2,
+          SUBMISSIONS_3,
+          SUBMISSIONS_4,
+          SUBMISSIONS_5,
+          SUBMISSIONS_6,
+          SUBMISSIONS_7);
 
   /**
    * Returns the lanes of submissions. The store appends to each on its own, so that hosts on
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
@@ -51,6 +51,12 @@
     return addresses;
   }
 
+  /** Returns the place of this host among all of them; it changes as hosts come and go. */
+  int rank() {
+    List<String> sorted = addresses.stream().sorted().toList();
+    return Math.max(0, sorted.indexOf(settings.peerAddress()));
+  }
+
   private void register() {
     if (stopped) {
       return;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RepeatedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RepeatedAppend.java
@@ -53,7 +53,7 @@
   }
 
   private void repeat() {
-    if (unanswered > 0 && !result.isDone()) {
+    if (unanswered > 0 && !result.isDone() && times.beginRepeat()) {
       sendOnce(false);
     }
   }
@@ -65,6 +65,9 @@
         call.get(),
         (offset, failure) -> {
           unanswered--;
+          if (!isFirst) {
+            times.endRepeat();
+          }
           if (failure == null) {
             times.add(loop.nowNs() - sentNs);
             result.complete(offset);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -117,14 +117,15 @@
     this.peers = peers;
 
     this.hosts = new HostRegistry(loop, log, settings);
-    this.submissions = new SubmissionLog(loop, log, lane(settings.hostId()), hosts.record());
+    this.submissions = new SubmissionLog(loop, log, this::lane, hosts.record());
     this.ownership = new Ownership(loop, log, settings, new Roles());
     this.lagWatch = new LagWatch(loop, () -> ownership.rest("this host has become slow"));
   }
 
-  private static LogPart lane(String hostId) {
+  /** Returns the lane of this host; hosts share one only if there are more hosts than lanes. */
+  private LogPart lane() {
     List<LogPart> lanes = LogPart.submissionLanes();
-    return lanes.get(Math.floorMod(hostId.hashCode(), lanes.size()));
+    return lanes.get(hosts.rank() % lanes.size());
   }
 
   /** Joins the cell. */
@@ -261,9 +262,14 @@
         return;
       }
       long timeoutMs = Math.max(1, Math.min(APPEND_TIMEOUT_MS, leftMs()));
+      relay(peer, timeoutMs);
+    }
+
+    private void relay(String address, long timeoutMs) {
       var unused =
           peers
-              .call(peer, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs)
+              .call(
+                  address, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs)
               .whenComplete((reply, failure) -> loop.execute(() -> onRelayed(reply)));
     }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
 import org.hickorymoor.daemon.port.LogPart;
@@ -21,8 +22,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Appends in flight at a time; a second one passes a connection that has gone silent. */
-  private static final int MAX_IN_FLIGHT = 2;
+  /** What comes meanwhile travels together; a repeat passes a connection that has gone silent. */
+  private static final int MAX_IN_FLIGHT = 1;
 
   /** Keeps an append below the store's limit of 2 MB. */
   private static final int MAX_BATCH_BYTES = 1_000_000;
@@ -38,7 +39,7 @@
   private final ShardLoop loop;
   private final KeyedLogPort log;
   private final AnswerTimes answerTimes = new AnswerTimes();
-  private final LogPart lane;
+  private final Supplier<LogPart> lane;
   private final Entry probe;
   private List<Pending> queue = new ArrayList<>();
   private int inFlight;
@@ -47,10 +48,10 @@
   /**
    * Makes a log.
    *
-   * @param lane stream to append to
+   * @param lane the stream to append to at present
    * @param probe a record of {@link LogPart#HOSTS} that may be written again at any time
    */
-  SubmissionLog(ShardLoop loop, KeyedLogPort log, LogPart lane, Entry probe) {
+  SubmissionLog(ShardLoop loop, KeyedLogPort log, Supplier<LogPart> lane, Entry probe) {
     this.loop = loop;
     this.log = log;
     this.lane = lane;
@@ -92,12 +93,13 @@
     }
     queue = rest;
     inFlight++;
+    LogPart to = lane.get();
     List<Entry> entries = batch.stream().map(Pending::entry).toList();
     loop.then(
         RepeatedAppend.send(
             loop,
             answerTimes,
-            () -> log.append(lane, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
+            () -> log.append(to, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
         (offset, failure) -> {
           inFlight--;
           report(failure);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
@@ -38,6 +38,7 @@
     private final Map<String, TreeMap<Long, Long>> answers = new HashMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private long firstKept;
+    private long busyUntilMs;
   }
 
   private final VirtualTime time;
@@ -46,6 +47,7 @@
   private boolean silent;
   private int appends;
   private long answerMs = USUAL_ANSWER_MS;
+  private long appendMs;
   private double lostShare;
   private double lateShare;
 
@@ -61,6 +63,11 @@
     return appends;
   }
 
+  /** Makes each part take this long for one append after the other. */
+  void appendMs(long takesMs) {
+    appendMs = takesMs;
+  }
+
   /** Makes each call take this long. */
   void answerMs(long takesMs) {
     answerMs = takesMs;
@@ -136,6 +143,11 @@
     }
 
     private <T> CompletableFuture<T> call(boolean write, long timeoutMs, Action<T> action) {
+      return call(write, 0, timeoutMs, action);
+    }
+
+    private <T> CompletableFuture<T> call(
+        boolean write, long turnMs, long timeoutMs, Action<T> action) {
       CompletableFuture<T> future = new CompletableFuture<>();
       time.after(
           timeoutMs,
@@ -143,7 +155,7 @@
               future.completeExceptionally(
                   new PlatformException(Type.NO_ANSWER, "no answer in " + timeoutMs + " ms")));
       time.after(
-          answerMs,
+          answerMs + turnMs,
           () -> {
             if (silent) {
               return;
@@ -183,7 +195,10 @@
         long expectedEnd,
         long timeoutMs) {
       appends++;
-      return call(true, timeoutMs, () -> doAppend(part(where), entries, writer, expectedEnd));
+      Part part = part(where);
+      part.busyUntilMs = Math.max(part.busyUntilMs, time.nowMs()) + appendMs;
+      long turnMs = part.busyUntilMs - time.nowMs();
+      return call(true, turnMs, timeoutMs, () -> doAppend(part, entries, writer, expectedEnd));
     }
 
     private static long doAppend(
