--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -15,25 +15,7 @@
   private static final QueuePolicy POLICY = new QueuePolicy("q", "pool", 0, 2, 2, 100, null);
 
   static StepSpec step(int count, List<Integer> after, boolean gang, boolean longRunning) {
-    return new StepSpec(
-        count,
-        1_000,
-        512,
-        0,
-        300,
-        after,
-        true,
-        gang,
-        false,
-        null,
-        null,
-        0,
-        false,
-        longRunning,
-        "",
-        0,
-        false,
-        0);
+    return TestSteps.step(count, 300, after, gang, longRunning);
   }
 
   private static JobProgress job(StepSpec... steps) {
--- a/domain/src/test/java/org/hickorymoor/domain/workload/UrgencyTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/UrgencyTest.java
@@ -15,25 +15,7 @@
   private static final double STRETCH = 1.5;
 
   private static StepSpec step(long estimatedMs, List<Integer> after, boolean longRunning) {
-    return new StepSpec(
-        1,
-        1_000,
-        500,
-        0,
-        estimatedMs,
-        after,
-        false,
-        false,
-        false,
-        null,
-        null,
-        0,
-        false,
-        longRunning,
-        "",
-        0,
-        false,
-        0);
+    return TestSteps.step(1, estimatedMs, after, false, longRunning);
   }
 
   private static Submission job(int priority, long acceptedAtMs, StepSpec... steps) {
