Read newest records, drop keys and hold records back in one place each

Found on reading the change again; behaviour stays.

- The paging of newest records with its retries stood in Intake, WorkerCatalog and ShardOwner, with and without the guard against an empty page: NewestReader.
- Submissions that come before the ledger is read were kept as tasks in ShardOwner, past the guard that Intake has for single records: Intake holds them itself.
- A record that drops its key was made in three ways and recognised in three: Entry.drop, Stored.isDrop.
- The queue of approvals was walked to its end for every answer although no host was left; the place of a host was sorted anew for every append; a counter that could be 0 or 1 and a flag beside a time that implies it.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/KeyedLogPort.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/KeyedLogPort.java
@@ -21,7 +21,13 @@
    * @param key its key, at most 255 bytes
    * @param value its content; empty to drop the key
    */
-  record Entry(String key, byte[] value) {}
+  record Entry(String key, byte[] value) {
+
+    /** Returns the record that drops a key. */
+    public static Entry drop(String key) {
+      return new Entry(key, new byte[0]);
+    }
+  }
 
   /**
    * A stored record.
@@ -30,7 +36,13 @@
    * @param key its key
    * @param value its content; empty if the key was dropped
    */
-  record Stored(long offset, String key, byte[] value) {}
+  record Stored(long offset, String key, byte[] value) {
+
+    /** Returns whether the record says that the key was dropped. */
+    public boolean isDrop() {
+      return value.length == 0;
+    }
+  }
 
   /**
    * Identifies an append of an exclusive writer, so that a repeat has no second effect and an
--- a/daemon/src/main/java/org/hickorymoor/daemon/port/LogPart.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/LogPart.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.port;
 
+import java.util.EnumSet;
 import java.util.List;
 
 /** The streams of keyed records that a cell of hosts shares through the platform's store. */
@@ -32,15 +33,7 @@
   WORKERS;
 
   private static final List<LogPart> LANES =
-      List.of(
-          SUBMISSIONS_0,
-          SUBMISSIONS_1,
-          SUBMISSIONS_2,
-          SUBMISSIONS_3,
-          SUBMISSIONS_4,
-          SUBMISSIONS_5,
-          SUBMISSIONS_6,
-          SUBMISSIONS_7);
+      List.copyOf(EnumSet.range(SUBMISSIONS_0, SUBMISSIONS_7));
 
   /**
    * Returns the lanes of submissions. The store appends to each on its own, so that hosts on
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdviceDesk.java
@@ -77,8 +77,7 @@
     private boolean slow;
     private long expectedMs;
     private int failuresInRow;
-    private long pausedUntilNs;
-    private boolean paused;
+    private @Nullable Long pausedUntilNs;
 
     void add(Ask ask, int sign) {
       expectedMs += sign * ask.expectedMs();
@@ -89,9 +88,13 @@
       }
     }
 
+    boolean isPaused(long nowNs) {
+      Long until = pausedUntilNs;
+      return until != null && nowNs - until < 0;
+    }
+
     boolean takes(Ask ask, long nowNs) {
-      boolean pausing = paused && nowNs - pausedUntilNs < 0;
-      return !pausing && !slow && (isSlow(ask) || quick < QUICK_AT_ONCE);
+      return !isPaused(nowNs) && !slow && (isSlow(ask) || quick < QUICK_AT_ONCE);
     }
   }
 
@@ -130,16 +133,25 @@
     loads.keySet().retainAll(known);
     int total = known.size();
     int maxSlow = Math.max(1, total - Math.max(1, total / FREE_SHARE));
+    // Once there is no host for an ask there is none for the next of its kind either.
+    boolean quickWaits = false;
+    boolean slowWaits = false;
     var asks = queue.iterator();
-    while (asks.hasNext()) {
+    while (asks.hasNext() && !(quickWaits && slowWaits)) {
       Ask ask = asks.next();
-      if (isSlow(ask) && slowInFlight >= maxSlow) {
+      boolean slow = isSlow(ask);
+      slowWaits |= slowInFlight >= maxSlow;
+      if (slow ? slowWaits : quickWaits) {
         continue;
       }
       String host = leastLoaded(known, ask);
       if (host != null) {
         asks.remove();
         send(host, ask);
+      } else if (slow) {
+        slowWaits = true;
+      } else {
+        quickWaits = true;
       }
     }
   }
@@ -194,7 +206,7 @@
       pause(load);
     } else {
       load.failuresInRow = 0;
-      load.paused = false;
+      load.pausedUntilNs = null;
     }
     ask.handler().accept(approvals);
     dispatch();
@@ -202,12 +214,11 @@
 
   /** Leaves a host alone for a while; calls that fail together count once. */
   private void pause(HostLoad load) {
-    if (load.paused && loop.nowNs() - load.pausedUntilNs < 0) {
+    if (load.isPaused(loop.nowNs())) {
       return;
     }
     long pauseMs = HOST_PAUSE_MS << Math.min(load.failuresInRow, MAX_DOUBLINGS);
     load.failuresInRow++;
-    load.paused = true;
     load.pausedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(pauseMs);
     loop.schedule(pauseMs + 1, this::dispatch);
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Coordinator.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Coordinator.java
@@ -12,7 +12,7 @@
  * @param hostId name of the host
  * @param address ip:port where peers reach it
  * @param nonce tells two claims of one epoch apart
- * @param leaving whether it has given up coordinating
+ * @param leaving whether it asks for a successor; it coordinates until there is one
  */
 record Coordinator(long epoch, String hostId, String address, String nonce, boolean leaving) {
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/EndedSubmissions.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/EndedSubmissions.java
@@ -26,9 +26,6 @@
   /** Keeps an append below 100 kB. */
   private static final int MAX_BATCH = 1_000;
 
-  /** A record without content drops its key. */
-  private static final byte[] NO_CONTENT = {};
-
   private final ShardLoop loop;
   private final KeyedLogPort log;
   private final Map<String, Map<String, LogPart>> kept = new HashMap<>();
@@ -59,9 +56,7 @@
     if (records != null) {
       records.forEach(
           (key, lane) ->
-              toDrop
-                  .computeIfAbsent(lane, unused -> new ArrayList<>())
-                  .add(new Entry(key, NO_CONTENT)));
+              toDrop.computeIfAbsent(lane, unused -> new ArrayList<>()).add(Entry.drop(key)));
     }
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
@@ -22,6 +22,7 @@
   private final KeyedLogPort log;
   private final ShardSettings settings;
   private volatile List<String> addresses;
+  private int rank;
   private boolean stopped;
 
   HostRegistry(ShardLoop loop, KeyedLogPort log, ShardSettings settings) {
@@ -43,7 +44,7 @@
   /** Takes this host off the list. */
   void stop() {
     stopped = true;
-    var unused = write(new Entry(settings.hostId(), new byte[0]));
+    var unused = write(Entry.drop(settings.hostId()));
   }
 
   /** Returns where the hosts can be reached, this one included. */
@@ -53,8 +54,7 @@
 
   /** Returns the place of this host among all of them; it changes as hosts come and go. */
   int rank() {
-    List<String> sorted = addresses.stream().sorted().toList();
-    return Math.max(0, sorted.indexOf(settings.peerAddress()));
+    return rank;
   }
 
   private void register() {
@@ -91,6 +91,8 @@
         (page, failure) -> {
           if (page != null) {
             addresses = page.records().stream().map(HostRegistry::address).distinct().toList();
+            rank =
+                Math.max(0, addresses.stream().sorted().toList().indexOf(settings.peerAddress()));
           }
           loop.schedule(REFRESH_MS, this::refresh);
         });
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Intake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Intake.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.daemon.shard;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.hickorymoor.daemon.port.KeyedLogPort;
@@ -30,9 +31,11 @@
   private final KeyedLogPort log;
   private final LogPart lane;
   private final BiConsumer<LogPart, Stored> sink;
+  private final List<Stored> held = new ArrayList<>();
   private long nextOffset;
   private long readAtNs;
   private boolean closed;
+  private boolean holding;
 
   Intake(ShardLoop loop, KeyedLogPort log, LogPart lane, BiConsumer<LogPart, Stored> sink) {
     this.loop = loop;
@@ -41,10 +44,21 @@
     this.sink = sink;
   }
 
+  /** Keeps what is read until {@link #release}. */
+  void hold() {
+    holding = true;
+  }
+
+  /** Hands over what was kept, and from now on each record as it is read. */
+  void release() {
+    holding = false;
+    held.forEach(this::take);
+    held.clear();
+  }
+
   /** Reads what is kept, runs a task, and goes on to follow. */
   void start(Runnable loaded) {
     load(
-        null,
         () -> {
           loaded.run();
           follow();
@@ -60,25 +74,25 @@
     return loop.nowNs() - readAtNs < FRESH_MS * NS_PER_MS;
   }
 
-  private void load(@Nullable String after, Runnable then) {
-    loop.then(
-        log.newest(lane, after, ShardSettings.STORE_TIMEOUT_MS),
-        (page, failure) -> {
-          if (closed) {
-            return;
-          }
-          if (page == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> load(after, then));
-            return;
+  private void load(Runnable then) {
+    NewestReader.read(
+        loop,
+        log,
+        lane,
+        new NewestReader.Sink() {
+          @Override
+          public boolean isClosed() {
+            return closed;
           }
-          if (after == null) {
-            nextOffset = page.endOffset();
+
+          @Override
+          public void onRecord(Stored stored) {
+            take(stored);
           }
-          List<Stored> records = page.records();
-          records.forEach(this::take);
-          if (page.hasMore() && !records.isEmpty()) {
-            load(records.get(records.size() - 1).key(), then);
-          } else {
+
+          @Override
+          public void onEnd(long endOffset) {
+            nextOffset = endOffset;
             readAtNs = loop.nowNs();
             then.run();
           }
@@ -98,7 +112,7 @@
       return;
     }
     if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
-      load(null, this::follow);
+      load(this::follow);
       return;
     }
     if (chunk == null) {
@@ -117,6 +131,10 @@
    * Hands a record over; one that can't be handled must not keep those after it from being read.
    */
   private void take(Stored stored) {
+    if (holding) {
+      held.add(stored);
+      return;
+    }
     try {
       sink.accept(lane, stored);
     } catch (RuntimeException e) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardOwner.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedLogPort;
+import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
 import org.hickorymoor.daemon.port.KeyedLogPort.Stored;
 import org.hickorymoor.daemon.port.LogPart;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
@@ -68,9 +69,6 @@
 
   private static final long NO_OFFSET = -1;
 
-  /** A record without content drops its key. */
-  private static final byte[] NO_CONTENT = {};
-
   /** A job and what is known of it beyond its progress. */
   private static final class Job {
     private final JobProgress progress;
@@ -112,12 +110,11 @@
   private final Map<String, WorkerSession> sessions = new HashMap<>();
   private final ApprovalBook approvals;
   private final Map<String, Long> sickSinceNs = new HashMap<>();
-  private Map<String, byte[]> progressRecords = new HashMap<>();
+  private final Map<String, byte[]> progressRecords = new HashMap<>();
   private final List<Intake> intakes;
   private final EndedSubmissions endedSubmissions;
   private int lanesLoaded;
   private boolean progressLoaded;
-  private List<Runnable> deferred = new ArrayList<>();
   private Map<String, WorkerFacts> listedEarly = Map.of();
   private boolean ready;
   private boolean closed;
@@ -163,7 +160,9 @@
 
   /** Takes over from whoever coordinated before. */
   void start() {
-    ledger.open(() -> loadProgress(null));
+    ledger.open(this::loadProgress);
+    // A submission can be taken in only once it is known how far its job is.
+    intakes.forEach(Intake::hold);
     intakes.forEach(intake -> intake.start(this::onLaneLoaded));
     catalog.start(this::onWorkers);
     loop.schedule(TICK_MS, this::tick);
@@ -183,24 +182,26 @@
 
   // Loading
 
-  private void loadProgress(@Nullable String after) {
-    if (closed) {
-      return;
-    }
-    loop.then(
-        log.newest(LogPart.LEDGER, after, ShardSettings.STORE_TIMEOUT_MS),
-        (page, failure) -> {
-          if (page == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> loadProgress(after));
-            return;
+  private void loadProgress() {
+    NewestReader.read(
+        loop,
+        log,
+        LogPart.LEDGER,
+        new NewestReader.Sink() {
+          @Override
+          public boolean isClosed() {
+            return closed;
           }
-          page.records().forEach(stored -> progressRecords.put(stored.key(), stored.value()));
-          if (page.hasMore()) {
-            loadProgress(page.records().get(page.records().size() - 1).key());
-          } else {
+
+          @Override
+          public void onRecord(Stored stored) {
+            progressRecords.put(stored.key(), stored.value());
+          }
+
+          @Override
+          public void onEnd(long endOffset) {
             progressLoaded = true;
-            deferred.forEach(Runnable::run);
-            deferred = List.of();
+            intakes.forEach(Intake::release);
             beginWorkIfLoaded();
           }
         });
@@ -250,11 +251,7 @@
   }
 
   private void takeIn(LogPart lane, Stored stored) {
-    if (!progressLoaded) {
-      deferred.add(() -> takeIn(lane, stored));
-      return;
-    }
-    if (stored.value().length == 0) {
+    if (stored.isDrop()) {
       return;
     }
     String cancelledId = SubmissionKeys.cancelledJob(stored.key());
@@ -358,7 +355,7 @@
     jobs.remove(job.id());
     pending.remove(job);
     approvals.forget(job.id());
-    ledger.touch(job.id(), () -> NO_CONTENT);
+    ledger.touch(job.id(), () -> Entry.drop(job.id()).value());
     passSoon();
   }
 
@@ -570,15 +567,18 @@
   }
 
   private void changed(Job job) {
-    ledger.touch(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
+    touch(job);
     WorkloadState state = job.progress.state();
-    if (state != job.storedState) {
-      ledger.afterStored(() -> stored(job, state));
-    } else if (state.isFinal() && job.progress.placed().isEmpty()) {
+    boolean over = state.isFinal() && job.progress.placed().isEmpty();
+    if (state != job.storedState || over) {
       ledger.afterStored(() -> stored(job, state));
     }
   }
 
+  private void touch(Job job) {
+    ledger.touch(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
+  }
+
   private void stored(Job job, WorkloadState state) {
     job.storedState = state;
     if (state.isFinal() && job.progress.placed().isEmpty()) {
@@ -792,7 +792,7 @@
     slot.place(worker, run);
     Placement placement = session.add(slot);
     String ticket = approvals.ticket(slot.id().stepName(), worker);
-    ledger.touch(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
+    touch(job);
     ledger.afterStored(() -> send(job, session, placement, ticket));
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionLog.java
@@ -22,9 +22,6 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** What comes meanwhile travels together; a repeat passes a connection that has gone silent. */
-  private static final int MAX_IN_FLIGHT = 1;
-
   /** Keeps an append below the store's limit of 2 MB. */
   private static final int MAX_BATCH_BYTES = 1_000_000;
 
@@ -42,7 +39,10 @@
   private final Supplier<LogPart> lane;
   private final Entry probe;
   private List<Pending> queue = new ArrayList<>();
-  private int inFlight;
+
+  /** While an append is on its way, what comes waits for the next one. */
+  private boolean appending;
+
   private boolean out;
 
   /**
@@ -81,7 +81,7 @@
   }
 
   private void flush(long timeoutMs) {
-    if (queue.isEmpty() || inFlight >= MAX_IN_FLIGHT) {
+    if (queue.isEmpty() || appending) {
       return;
     }
     List<Pending> batch = new ArrayList<>();
@@ -92,7 +92,7 @@
       (bytes <= MAX_BATCH_BYTES || batch.isEmpty() ? batch : rest).add(pending);
     }
     queue = rest;
-    inFlight++;
+    appending = true;
     LogPart to = lane.get();
     List<Entry> entries = batch.stream().map(Pending::entry).toList();
     loop.then(
@@ -101,7 +101,7 @@
             answerTimes,
             () -> log.append(to, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
         (offset, failure) -> {
-          inFlight--;
+          appending = false;
           report(failure);
           for (Pending pending : batch) {
             if (failure == null) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
@@ -25,7 +25,6 @@
   private final WorkerRecordDecoder decoder;
   private final Map<String, WorkerFacts> listed = new HashMap<>();
   private Consumer<Map<String, WorkerFacts>> listener = workers -> {};
-  private Map<String, WorkerFacts> loading = new HashMap<>();
   private long nextOffset;
   private boolean closed;
   private boolean out;
@@ -39,38 +38,43 @@
   /** Reads the list and tells the listener of every change. */
   void start(Consumer<Map<String, WorkerFacts>> changes) {
     listener = changes;
-    load(null);
+    load();
   }
 
   void close() {
     closed = true;
   }
 
-  private void load(@Nullable String after) {
-    if (closed) {
-      return;
-    }
-    loop.then(
-        log.newest(LogPart.WORKERS, after, ShardSettings.STORE_TIMEOUT_MS),
-        (page, failure) -> {
-          report(failure);
-          if (page == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> load(after));
-            return;
+  private void load() {
+    Map<String, WorkerFacts> loading = new HashMap<>();
+    NewestReader.read(
+        loop,
+        log,
+        LogPart.WORKERS,
+        new NewestReader.Sink() {
+          @Override
+          public boolean isClosed() {
+            return closed;
           }
-          if (after == null) {
-            loading = new HashMap<>();
-            nextOffset = page.endOffset();
+
+          @Override
+          public void onAnswer(@Nullable PlatformException failure) {
+            report(failure);
           }
-          page.records().forEach(stored -> apply(loading, stored));
-          if (page.hasMore()) {
-            load(page.records().get(page.records().size() - 1).key());
-            return;
+
+          @Override
+          public void onRecord(Stored stored) {
+            apply(loading, stored);
+          }
+
+          @Override
+          public void onEnd(long endOffset) {
+            nextOffset = endOffset;
+            listed.clear();
+            listed.putAll(loading);
+            listener.accept(Map.copyOf(listed));
+            loop.schedule(POLL_MS, WorkerCatalog.this::poll);
           }
-          listed.clear();
-          listed.putAll(loading);
-          listener.accept(Map.copyOf(listed));
-          loop.schedule(POLL_MS, this::poll);
         });
   }
 
@@ -82,7 +86,7 @@
         log.read(LogPart.WORKERS, nextOffset, 0, ShardSettings.STORE_TIMEOUT_MS),
         (chunk, failure) -> {
           if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
-            load(null);
+            load();
             return;
           }
           report(failure);
@@ -100,8 +104,7 @@
   }
 
   private void apply(Map<String, WorkerFacts> into, Stored stored) {
-    WorkerFacts facts =
-        stored.value().length == 0 ? null : decoder.decode(stored.key(), stored.value());
+    WorkerFacts facts = stored.isDrop() ? null : decoder.decode(stored.key(), stored.value());
     WorkerFacts before = facts == null ? into.remove(stored.key()) : into.put(stored.key(), facts);
     if (facts == null && before != null) {
       logger.atInfo().log("workers: %s is off the list, offset %d.", stored.key(), stored.offset());
