Call the platform through one HTTP client

The adapter to the users' platform had a client of its own beside that of the daemon's adapters: the same set-up of the transport, the same sending, the same mapping of failures. HttpCalls serves both, each with its limits as before; PlatformHttp keeps what it does with JSON.

Not the same as before: the daemon's own client sends no User-Agent and no Accept-Encoding, as the other one did not, and a failed stop gives a line instead of an interrupt.

--- a/platform/src/main/java/org/hickorymoor/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/HttpCalls.java
@@ -1,4 +1,4 @@
-package org.hickorymoor.platform;
+package org.hickorymoor.daemon.adapter;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -21,25 +21,34 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Calls the platform and workers over HTTP.
+ * Calls the platform and workers over HTTP; the one client of a process.
  *
  * <p>A call that is not answered in time closes its connection, so that a silent connection is not
- * used again. Safe for use by several threads. Futures fail with a {@link PlatformException} only.
+ * used again. Safe for use by several threads. Futures fail with a {@link PlatformException} only;
+ * an answer of any status completes them.
  */
-final class PlatformClient {
+public final class HttpCalls {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
   private static final int MAX_THREADS = 6;
   private static final int MIN_THREADS = 2;
-  private static final int MAX_CONNECTIONS_PER_TARGET = 24;
-  private static final int MAX_QUEUED_PER_TARGET = 2_048;
+  private static final int SELECTORS = 1;
 
-  /** A handshake across regions takes 60 ms. */
-  private static final long CONNECT_TIMEOUT_MS = 500;
-
-  /** Longer than the pauses between calls to a worker in use, below the servers' own limits. */
-  private static final long IDLE_MS = 12_000;
+  /**
+   * How far the client goes.
+   *
+   * @param connectTimeoutMs longest time to wait for a connection
+   * @param idleMs an unused connection is closed after this time; 0 for never
+   * @param connectionsPerTarget most connections to one address
+   * @param queuedPerTarget most calls that wait for a connection to one address
+   * @param answerBytes largest answer
+   */
+  public record Limits(
+      long connectTimeoutMs,
+      long idleMs,
+      int connectionsPerTarget,
+      int queuedPerTarget,
+      int answerBytes) {}
 
   /**
    * An answer.
@@ -47,32 +56,45 @@
    * @param status HTTP status
    * @param body content
    */
-  record Answer(int status, byte[] body) {
+  public record Answer(int status, byte[] body) {
 
-    String text() {
+    /** Returns the content as text. */
+    public String text() {
       return new String(body, UTF_8);
     }
   }
 
   private final HttpClient client;
+  private final int answerBytes;
 
-  PlatformClient() {
+  /**
+   * Makes a client that is not started.
+   *
+   * @param limits how far it goes
+   */
+  public HttpCalls(Limits limits) {
     ClientConnector connector = new ClientConnector();
-    connector.setSelectors(1);
+    connector.setSelectors(SELECTORS);
     client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
-    threads.setName("client");
+    threads.setName("platform");
     threads.setReservedThreads(0);
     client.setExecutor(threads);
-    client.setConnectTimeout(CONNECT_TIMEOUT_MS);
-    client.setIdleTimeout(IDLE_MS);
-    client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_TARGET);
-    client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_TARGET);
+    client.setConnectTimeout(limits.connectTimeoutMs());
+    client.setIdleTimeout(limits.idleMs());
+    client.setMaxConnectionsPerDestination(limits.connectionsPerTarget());
+    client.setMaxRequestsQueuedPerDestination(limits.queuedPerTarget());
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
+    answerBytes = limits.answerBytes();
   }
 
-  void start() throws PlatformException {
+  /**
+   * Starts the client.
+   *
+   * @throws PlatformException if its threads can't be started
+   */
+  public void start() throws PlatformException {
     try {
       client.start();
       client.getContentDecoderFactories().clear();
@@ -81,7 +103,8 @@
     }
   }
 
-  void stop() {
+  /** Stops the client; calls in flight fail. */
+  public void stop() {
     try {
       client.stop();
     } catch (Exception e) {
@@ -89,11 +112,29 @@
     }
   }
 
-  CompletableFuture<Answer> get(String address, String pathAndQuery, long timeoutMs) {
+  /**
+   * Sends a GET.
+   *
+   * @param address ip:port
+   * @param pathAndQuery what to ask for
+   * @param timeoutMs time for the whole call
+   * @return the answer
+   */
+  public CompletableFuture<Answer> get(String address, String pathAndQuery, long timeoutMs) {
     return send(HttpMethod.GET, address, pathAndQuery, null, Map.of(), timeoutMs);
   }
 
-  CompletableFuture<Answer> post(
+  /**
+   * Sends a POST.
+   *
+   * @param address ip:port
+   * @param pathAndQuery what to ask for
+   * @param body content
+   * @param headers header fields beside the usual ones
+   * @param timeoutMs time for the whole call
+   * @return the answer
+   */
+  public CompletableFuture<Answer> post(
       String address,
       String pathAndQuery,
       byte[] body,
@@ -118,7 +159,7 @@
     }
     request.timeout(timeoutMs, TimeUnit.MILLISECONDS);
     request.send(
-        new BufferingResponseListener(MAX_ANSWER_BYTES) {
+        new BufferingResponseListener(answerBytes) {
           @Override
           public void onComplete(Result result) {
             if (result.isFailed()) {
