Answer in-doubt where an earlier coordinator may have run the job

Cause: two paths told callers that a job was not run without knowing it. A refusal of type INTERNAL, which may be partly executed, counted as not delivered. And a coordinator that had not read the log yet rejected an at-most-once job with NOT_RUN; the answer lists tasks, so JobService did not take it for a refusal although an earlier coordinator may have run the job. The second is the symptom of FailoverProcessTest and PartitionProcessTest (not-run where done was expected): the entry host repeats the request right after the takeover.

Ruled out: the entry host losing track of a delivery; a killed coordinator's connection ends with NO_RESPONSE, which did count.

Change: INTERNAL counts as maybe delivered. A submission that arrives before the log is read waits for it, one second at most, and goes on as the log shows the job; without the log it is answered in-doubt, not not-run. An at-most-once job submitted without a wait is answered once its claim is settled; before, ACCEPTED could precede a rejected claim.

--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/Cell.java
@@ -34,7 +34,6 @@
  */
 final class Cell {
 
-  private static final long RESTORE_TIMEOUT_MS = 1_000;
   private static final long RECORD_TIMEOUT_MS = 2_000;
 
   private final CellContext context;
@@ -77,7 +76,7 @@
       Job job = new Job(jobId, spec, context.clockMs().getAsLong());
       jobs.add(job);
       intake.record(job);
-      answer = waitMs > 0 || !spec.repeatable() ? awaitEnd(job, waitMs) : accepted(job);
+      answer = waitMs > 0 ? awaitEnd(job, waitMs) : accepted(job);
     }
     dispatch();
     return answer;
@@ -202,11 +201,11 @@
       }
       boolean allListed = listedWorkers.containsAll(workerIds);
       boolean expired = nowMs > state.startedMs() + context.settings().taskExpiryMs();
-      boolean logReadOrTimedOut =
-          state.restored() || nowMs > state.startedMs() + RESTORE_TIMEOUT_MS;
+      boolean logReadOrTimedOut = state.restored() || state.restoreTimedOut();
       if (!state.reconciled() && (allListed || expired) && logReadOrTimedOut) {
         finishReconciliation(allListed);
       }
+      intake.claimAwaitingRestore();
       runner.expire(nowMs);
     }
     dispatch();
@@ -236,6 +235,7 @@
       }
       known.forEach(job -> intake.restore(job, state.reconciled()));
       state.markRestored();
+      intake.claimAwaitingRestore();
       if (state.reconciled()) {
         List.copyOf(jobs.all()).forEach(this::resolvePending);
       }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/CellState.java
@@ -16,6 +16,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final long RESTORE_TIMEOUT_MS = 1_000;
+
   private final CellContext context;
   private final Object lock;
   private final Runnable dispatch;
@@ -84,6 +86,11 @@
     return restored;
   }
 
+  /** Returns whether the coordinator no longer waits for the jobs in the log. */
+  boolean restoreTimedOut() {
+    return nowMs() > startedMs + RESTORE_TIMEOUT_MS;
+  }
+
   void markRestored() {
     restored = true;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.coordinator;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
   private static final long CLAIM_RETRY_MS = 500;
 
   private final CellState state;
+  private final List<Job> awaitingRestore = new ArrayList<>();
 
   JobIntake(CellState state) {
     this.state = state;
@@ -29,7 +31,7 @@
   void record(Job job) {
     job.confirmOpen();
     if (!job.spec().repeatable()) {
-      claim(job, state.restored());
+      claimOnceRestored(job);
       return;
     }
     if (state.reconciled()) {
@@ -53,13 +55,52 @@
     }
   }
 
-  /** Claims a job's key; rejects the job if the log has not been read in this term. */
-  private void claim(Job job, boolean restored) {
-    if (!restored) {
-      String message = "This coordinator has just taken over and has not yet read the log.";
-      reject(job, new JournalException(JournalException.Type.LOG_OUT, message));
+  /**
+   * Claims a job's key once the log has been read: until then, an earlier coordinator may hold the
+   * claim and run the job. The job is rejected if the log can't be read in time.
+   */
+  private void claimOnceRestored(Job job) {
+    if (state.restored()) {
+      claim(job);
+    } else if (state.restoreTimedOut()) {
+      rejectUnrestored(job);
+    } else {
+      awaitingRestore.add(job);
+    }
+  }
+
+  /** Claims the keys of the jobs that wait for the log to be read, or rejects them after a time. */
+  void claimAwaitingRestore() {
+    if (!state.restored() && !state.restoreTimedOut()) {
       return;
     }
+    List<Job> waiting = List.copyOf(awaitingRestore);
+    awaitingRestore.clear();
+    for (Job job : waiting) {
+      boolean knownFromLog = state.context().journal().find(job.jobId()).isPresent();
+      if (!job.ended() && !knownFromLog) {
+        claimOnceRestored(job);
+      }
+    }
+  }
+
+  /**
+   * Answers that a job is in doubt: an earlier coordinator may have run it, and only the log could
+   * tell. Does nothing if a worker has reported the job's tasks meanwhile.
+   */
+  private void rejectUnrestored(Job job) {
+    if (!job.allInPhase(Phase.WAITING)) {
+      return;
+    }
+    String message =
+        "This coordinator has just taken over and can't read the log, which tells whether an"
+            + " earlier coordinator ran the job; repeat the request once the log is back.";
+    job.reason(new Reason(ReasonType.LOG_UNAVAILABLE, message));
+    discard(job, Phase.IN_DOUBT);
+  }
+
+  /** Claims a job's key in the log. */
+  private void claim(Job job) {
     state.defer(
         () ->
             state
@@ -75,6 +116,7 @@
       if (job.cancelled()) {
         endUnstarted(job, job.reason().type(), job.reason().message());
       } else if (failure == null && job.jobId().equals(jobId)) {
+        job.acceptance().complete(null);
         clearDoubt(job);
         enqueue(job);
       } else if (jobId != null) {
@@ -89,6 +131,7 @@
   /** Continues under the job id for which this domain claimed the key earlier. */
   private void continueUnderClaimedId(Job job, String jobId) {
     state.jobs().remove(job);
+    job.acceptance().complete(null);
     Job claimed = state.jobs().byId(jobId);
     if (claimed == null) {
       state.context().journal().find(jobId).ifPresent(known -> restore(known, true));
@@ -126,9 +169,14 @@
             ? ReasonType.KEY_REUSED
             : ReasonType.LOG_UNAVAILABLE;
     job.reason(new Reason(type, e.explanation()));
-    job.tasks().forEach(task -> task.phase(Phase.NOT_RUN));
+    discard(job, Phase.NOT_RUN);
+  }
+
+  private void discard(Job job, Phase finalPhase) {
+    job.tasks().forEach(task -> task.phase(finalPhase));
     job.markEnded(state.nowMs());
     job.markRecorded();
+    job.acceptance().complete(null);
     state.notifyWaiters(job);
     state.jobs().remove(job);
   }
@@ -145,7 +193,7 @@
   private void retryClaim(Job job) {
     synchronized (state.lock()) {
       if (!state.closed()) {
-        claim(job, true);
+        claim(job);
       }
     }
     state.dispatch();
--- a/daemon/src/main/java/org/hickorymoor/daemon/entry/JobService.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/entry/JobService.java
@@ -80,11 +80,12 @@
 
   /**
    * Replaces a refusal by {@code IN_DOUBT}: an earlier coordinator may have started a job that a
-   * later one refuses.
+   * later one refuses. A refusal lists no tasks, or is due to a log that could not be read.
    */
   private static JobAnswer refusalToInDoubt(JobAnswer answer) {
-    boolean refused = answer.state() == JobState.NOT_RUN && answer.tasks().isEmpty();
-    return refused
+    boolean refused =
+        answer.tasks().isEmpty() || answer.reason().type() == ReasonType.LOG_UNAVAILABLE;
+    return answer.state() == JobState.NOT_RUN && refused
         ? inDoubt(
             answer.request(),
             "An earlier coordinator may have started the job; a later one refused it: "
--- a/daemon/src/main/java/org/hickorymoor/daemon/entry/Router.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/entry/Router.java
@@ -137,8 +137,10 @@
     }
 
     private void onReply(@Nullable PeerReply reply, @Nullable Throwable failure) {
+      if (reply instanceof PeerReply.Refused refused) {
+        maybeDelivered |= mayHaveBeenExecuted(refused.type());
+      }
       if (reply instanceof PeerReply.Refused refused && isTransient(refused.type())) {
-        maybeDelivered |= refused.type() == PeerErrorType.STOPPING;
         scheduleRetry();
       } else if (reply != null) {
         result.complete(new RoutingResult(reply, maybeDelivered));
@@ -165,11 +167,15 @@
     return type == PeerErrorType.NOT_COORDINATOR || type == PeerErrorType.STOPPING;
   }
 
+  private static boolean mayHaveBeenExecuted(PeerErrorType type) {
+    return type == PeerErrorType.STOPPING || type == PeerErrorType.INTERNAL;
+  }
+
   private static boolean mayHaveBeenDelivered(@Nullable Throwable failure) {
     Throwable cause = failure;
     if (failure instanceof CompletionException && failure.getCause() != null) {
       cause = failure.getCause();
     }
-    return !(cause instanceof PeerException e && e.type() == PeerException.Type.UNREACHABLE);
+    return !(cause instanceof PeerException e) || e.mayHaveTakenEffect();
   }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/coordinator/CellTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/coordinator/CellTest.java
@@ -17,6 +17,7 @@
 import org.hickorymoor.domain.job.JobKind;
 import org.hickorymoor.domain.job.JobSpec;
 import org.hickorymoor.domain.job.JobState;
+import org.hickorymoor.domain.job.Reason;
 import org.hickorymoor.domain.job.RequestKey;
 import org.hickorymoor.domain.job.Spread;
 import org.hickorymoor.domain.job.TaskId;
@@ -60,6 +61,20 @@
           Spread.NONE,
           0,
           null);
+  private static final JobSpec AT_MOST_ONCE =
+      new JobSpec(
+          KEY,
+          "test",
+          JobKind.BATCH,
+          JobClass.NORMAL,
+          1,
+          DEMAND,
+          0,
+          "{}",
+          false,
+          Spread.NONE,
+          0,
+          null);
   private static final String JOB = "e1-x-1";
   private static final TaskId ATTEMPT = new TaskId(JOB, 0, 1);
   private static final String TASK = ATTEMPT + "~old";
@@ -69,6 +84,8 @@
   private static final List<String> WORKERS = List.of("w1", "w2");
 
   private final List<String> stopped = new ArrayList<>();
+  private final List<String> claims = new ArrayList<>();
+  private final Map<String, LedgerJob> journalJobs = new HashMap<>();
   private final Map<String, WorkerAgent> agents = new HashMap<>();
   private final Cell cell;
   private long nowMs = 1_000;
@@ -203,6 +220,67 @@
     assertThat(state()).isEqualTo(JobState.FAILED);
   }
 
+  @Test
+  void jobSubmittedBeforeLogIsReadWaitsForIt() {
+    CompletableFuture<JobAnswer> answer = cell.submit(JOB, AT_MOST_ONCE, 60_000);
+    nowMs += 500;
+    cell.tick(WORKERS);
+    assertThat(answer.isDone()).isFalse();
+
+    cell.restore(List.of());
+
+    assertThat(answer.isDone()).isFalse();
+    assertThat(state()).isEqualTo(JobState.ACCEPTED);
+  }
+
+  @Test
+  void jobSubmittedBeforeLogIsReadContinuesAsTheLogShowsIt() {
+    final CompletableFuture<JobAnswer> answer = cell.submit(JOB, AT_MOST_ONCE, 60_000);
+    JobLedger ledger = new JobLedger(10);
+    ledger.apply(new LedgerEntry.Accepted(JOB, AT_MOST_ONCE, 0));
+    ledger.apply(new LedgerEntry.Finished(JOB, JobState.DONE, Reason.NONE, 0));
+    ledger.jobs().forEach(known -> journalJobs.put(JOB, known));
+
+    cell.restore(ledger.jobs());
+
+    assertThat(answer.join().jobId()).isEqualTo(JOB);
+    assertThat(claims).isEmpty();
+  }
+
+  @Test
+  void jobSubmittedWhileLogCannotBeReadIsInDoubt() {
+    CompletableFuture<JobAnswer> answer = cell.submit(JOB, AT_MOST_ONCE, 60_000);
+    nowMs += 60_000;
+
+    cell.tick(WORKERS);
+
+    assertThat(answer.join().state()).isEqualTo(JobState.IN_DOUBT);
+    assertThat(cell.openJobs()).isEqualTo(0);
+  }
+
+  @Test
+  void jobThatWorkerReportsIsNotRefusedWhileLogCannotBeRead() {
+    final CompletableFuture<JobAnswer> answer = cell.submit(JOB, AT_MOST_ONCE, 60_000);
+    list("w1", List.of(running()), List.of());
+    nowMs += 60_000;
+
+    cell.tick(WORKERS);
+
+    assertThat(answer.isDone()).isFalse();
+    assertThat(state()).isEqualTo(JobState.RUNNING);
+  }
+
+  @Test
+  void jobIsNotAcceptedBeforeItsKeyIsClaimed() {
+    CompletableFuture<JobAnswer> answer = cell.submit(JOB, AT_MOST_ONCE, 0);
+    assertThat(answer.isDone()).isFalse();
+
+    cell.restore(List.of());
+
+    assertThat(answer.join().state()).isEqualTo(JobState.ACCEPTED);
+    assertThat(claims).containsExactly(JOB);
+  }
+
   private final class FakePort implements WorkerPort {
 
     private static CommandReply done() {
@@ -258,9 +336,9 @@
     }
   }
 
-  private static final class FakeJournal implements JobJournal {
+  private final class FakeJournal implements JobJournal {
 
-    private static CompletableFuture<Void> stored() {
+    private CompletableFuture<Void> stored() {
       return CompletableFuture.completedFuture(null);
     }
 
@@ -276,12 +354,13 @@
 
     @Override
     public CompletableFuture<String> claim(String jobId, JobSpec spec) {
+      claims.add(jobId);
       return CompletableFuture.completedFuture(jobId);
     }
 
     @Override
     public Optional<LedgerJob> find(String jobId) {
-      return Optional.empty();
+      return Optional.ofNullable(journalJobs.get(jobId));
     }
 
     @Override
