--- a/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/journal/LogJournal.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -276,6 +277,10 @@
       return;
     }
     long beforeMs = nowMs - settings.get().logRetentionMs() / REAPPENDS_PER_RETENTION;
+    if (canClaim()) {
+      Set<String> claiming = keys.read(ledger -> ledger.claimingJobs(domain));
+      jobs.change(ledger -> ledger.retainEvicted(claiming));
+    }
     List<KeyClaim> claims = keys.read(ledger -> ledger.claimsOf(domain, beforeMs));
     List<LedgerEntry> entries = jobs.read(ledger -> ledger.snapshot(beforeMs));
     claims.forEach(claim -> keys.append(LedgerJson.writeClaim(claim)));
--- a/domain/src/main/java/org/hickorymoor/domain/ledger/JobLedger.java
+++ b/domain/src/main/java/org/hickorymoor/domain/ledger/JobLedger.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +19,7 @@
 public final class JobLedger {
 
   private final Map<String, LedgerJob> jobs = new LinkedHashMap<>();
-  private final Set<String> evicted = new HashSet<>();
+  private final Map<String, LedgerEntry.Finished> evicted = new LinkedHashMap<>();
   private final int maxFinished;
   private int finishedCount;
   private String termId = "";
@@ -49,7 +48,17 @@
     } else if (entry instanceof LedgerEntry.Ended ended) {
       find(ended.task().jobId()).ifPresent(job -> job.addEnd(ended));
     } else if (entry instanceof LedgerEntry.Finished finished) {
-      find(finished.jobId()).ifPresent(job -> finish(job, finished));
+      applyFinished(finished);
+    }
+  }
+
+  private void applyFinished(LedgerEntry.Finished finished) {
+    LedgerJob job = jobs.get(finished.jobId());
+    if (job == null) {
+      // The entry that accepted the job is no longer in the log.
+      evicted.put(finished.jobId(), finished);
+    } else {
+      finish(job, finished);
     }
   }
 
@@ -71,10 +80,11 @@
 
   private void evictOldestFinished() {
     for (LedgerJob job : jobs.values()) {
-      if (job.finished() != null) {
+      LedgerEntry.Finished finished = job.finished();
+      if (finished != null) {
         jobs.remove(job.jobId());
         if (!job.spec().repeatable()) {
-          evicted.add(job.jobId());
+          evicted.put(job.jobId(), finished);
         }
         finishedCount--;
         return;
@@ -108,7 +118,7 @@
    * @return true if the job must not be started again although the ledger no longer contains it
    */
   public boolean wasEvicted(String jobId) {
-    return evicted.contains(jobId);
+    return evicted.containsKey(jobId);
   }
 
   /**
@@ -125,6 +135,15 @@
         .isPresent();
   }
 
+  /**
+   * Forgets evicted jobs, except for some.
+   *
+   * @param jobIds ids of the jobs to keep: those whose claim of a key is still valid
+   */
+  public void retainEvicted(Set<String> jobIds) {
+    evicted.keySet().retainAll(jobIds);
+  }
+
   /**
    * Returns all jobs in order of acceptance.
    *
@@ -136,13 +155,13 @@
 
   /**
    * Returns the entries that must be appended again before log retention drops them: those of open
-   * jobs, and of finished jobs that must not run again.
+   * jobs, and of finished or evicted jobs that must not run again.
    *
    * @param beforeMs wall-clock time; only jobs accepted earlier are included
    * @return entries from which an empty ledger restores the same state of these jobs
    */
   public List<LedgerEntry> snapshot(long beforeMs) {
-    List<LedgerEntry> entries = new ArrayList<>();
+    List<LedgerEntry> entries = new ArrayList<>(evicted.values());
     for (LedgerJob job : jobs.values()) {
       boolean isOld = job.acceptedAtMs() < beforeMs;
       if (isOld && job.finished() != null && !job.spec().repeatable()) {
--- a/domain/src/main/java/org/hickorymoor/domain/ledger/KeyLedger.java
+++ b/domain/src/main/java/org/hickorymoor/domain/ledger/KeyLedger.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.hickorymoor.domain.job.RequestKey;
 
 /**
@@ -62,6 +64,19 @@
         .toList();
   }
 
+  /**
+   * Returns the jobs of a failure domain that hold a key.
+   *
+   * @param domain the failure domain
+   * @return ids of the jobs
+   */
+  public Set<String> claimingJobs(String domain) {
+    return holders.values().stream()
+        .filter(claim -> claim.domain().equals(domain))
+        .map(KeyClaim::jobId)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Removes claims whose window has passed.
    *
--- a/domain/src/test/java/org/hickorymoor/domain/ledger/JobLedgerTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/ledger/JobLedgerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Set;
 import org.hickorymoor.domain.Resources;
 import org.hickorymoor.domain.job.JobClass;
 import org.hickorymoor.domain.job.JobKind;
@@ -82,4 +83,33 @@
     assertThat(small.wasEvicted("j1")).isTrue();
     assertThat(small.wasEvicted("never")).isFalse();
   }
+
+  @Test
+  void snapshotRestoresThatEvictedJobHasFinished() {
+    JobLedger small = new JobLedger(1);
+    for (String jobId : new String[] {"j1", "j2"}) {
+      small.apply(new LedgerEntry.Accepted(jobId, SPEC, 0));
+      small.apply(new LedgerEntry.Finished(jobId, JobState.DONE, Reason.NONE, 0));
+    }
+
+    JobLedger fresh = new JobLedger(10);
+    small.snapshot(1).forEach(fresh::apply);
+
+    assertThat(fresh.wasEvicted("j1")).isTrue();
+    assertThat(fresh.wasEvicted("j2")).isFalse();
+  }
+
+  @Test
+  void evictedJobIsForgottenWithItsClaim() {
+    JobLedger small = new JobLedger(1);
+    for (String jobId : new String[] {"j1", "j2", "j3"}) {
+      small.apply(new LedgerEntry.Accepted(jobId, SPEC, 0));
+      small.apply(new LedgerEntry.Finished(jobId, JobState.DONE, Reason.NONE, 0));
+    }
+
+    small.retainEvicted(Set.of("j2"));
+
+    assertThat(small.wasEvicted("j1")).isFalse();
+    assertThat(small.wasEvicted("j2")).isTrue();
+  }
 }
