Limit request bodies by the bytes received

Cause: both HTTP interfaces checked the declared length only, so a chunked body could fill the memory of the host, and a reply of an unexpected type left the caller of /v1/jobs without an answer.

Change: one reader of bodies for both interfaces that fails with a typed error as soon as the limit is exceeded; an unexpected reply is answered 500.

HttpApiServerTest.largerChunkedBodyIsRejected failed before (200 for MAX_BYTES + 1 chunked) and passes now.

--- a/daemon/src/main/java/org/hickorymoor/daemon/http/HttpApiServer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpApiServer.java
@@ -1,13 +1,9 @@
 package org.hickorymoor.daemon.http;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -167,35 +163,31 @@
   }
 
   /**
-   * Reads the body and dispatches the call to the resources. Rejects bodies whose declared length
-   * exceeds {@link ConfigCodec#MAX_BYTES}.
+   * Reads the body and dispatches the call to the resources. Rejects bodies larger than {@link
+   * ConfigCodec#MAX_BYTES}.
    */
   private final class ResourceDispatcher extends Handler.Abstract.NonBlocking {
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
       inFlight.incrementAndGet();
       Callback counted = Callback.from(callback, inFlight::decrementAndGet);
-      long length = request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
-      if (length > ConfigCodec.MAX_BYTES) {
-        HttpCall call = new HttpCall(request, response, counted, "");
-        String message =
-            "expected a body of at most "
-                + ConfigCodec.MAX_BYTES
-                + " bytes, got "
-                + length
-                + "; reduce the size of the record";
-        call.replyError(HttpCall.CONTENT_TOO_LARGE, ErrorTypes.TOO_LARGE, message);
-        return true;
-      }
-      Content.Source.asStringAsync(request, UTF_8)
-          .whenComplete(
-              (body, failure) -> {
-                if (failure == null) {
-                  dispatch(new HttpCall(request, response, counted, body));
-                } else {
-                  counted.failed(failure);
-                }
-              });
+      var unused =
+          RequestBodies.readText(request, ConfigCodec.MAX_BYTES)
+              .whenComplete(
+                  (body, failure) -> {
+                    if (failure == null) {
+                      dispatch(new HttpCall(request, response, counted, body));
+                    } else if (RequestBodies.isTooLarge(failure)) {
+                      String message =
+                          "expected a body of at most "
+                              + ConfigCodec.MAX_BYTES
+                              + " bytes; reduce the size of the record";
+                      new HttpCall(request, response, counted, "")
+                          .replyError(HttpCall.CONTENT_TOO_LARGE, ErrorTypes.TOO_LARGE, message);
+                    } else {
+                      counted.failed(failure);
+                    }
+                  });
       return true;
     }
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/JobResource.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/JobResource.java
@@ -167,6 +167,9 @@
       String message =
           "no job with request key " + unknown.request() + " is known in this failure domain";
       call.replyError(HttpCall.NOT_FOUND, ErrorTypes.UNKNOWN_JOB, message);
+    } else {
+      String message = "unexpected reply of the coordinator: " + reply.getClass().getSimpleName();
+      call.replyError(HttpCall.INTERNAL_SERVER_ERROR, ErrorTypes.INTERNAL, message);
     }
   }
 }
