Make four tests independent of timing and of freed ports

WorkerStandInTest and LogStandInTest sent a POST on a pooled connection that the restarted stand-in had closed; the client does not repeat a POST. They now drop their pooled connections after the restart, and check the same.

FaultProxyTest.unreachableTargetResetsClient relied on a freed port staying free: another process, or the proxy's own connection, may get it. The target is now a bound port that does not listen, which refuses every connection.

BatchAppenderTest.failsAtDeadlineDuringOutage raced its deadline of 1 ms with an append in flight, which rightly makes the outcome uncertain. The deadline now passes on a manual clock while no append is in flight; the expected outcome is the same.

--- a/daemon/src/test/java/org/hickorymoor/daemon/stream/BatchAppenderTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/stream/BatchAppenderTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hickorymoor.daemon.stream.FakeLog.Fault;
 import org.hickorymoor.protocol.platform.LogRecord;
 import org.junit.jupiter.api.AfterEach;
@@ -96,13 +97,31 @@
   }
 
   @Test
-  void failsAtDeadlineDuringOutage() {
+  void failsAtDeadlineDuringOutage() throws Exception {
     log.setUnavailable(true);
-
-    AppendFailedException failure = failureOf(appender.append("1", 1));
-
+    // One thread and a long backoff: once the first append is refused, none is in flight.
+    ScheduledExecutorService single = Executors.newSingleThreadScheduledExecutor();
+    AtomicLong clockMs = new AtomicLong();
+    MetricRegistry metrics = new MetricRegistry();
+    BatchAppender paused =
+        new BatchAppender(
+            new StreamContext(log, single, clockMs::get, metrics),
+            "s",
+            "p1",
+            new AppendRateLimiter(10_000, 100, clockMs::get),
+            new AppenderSettings(1024, 4096, 100, LONG_MS, LONG_MS));
+    paused.start();
+    final var result = paused.append("1", 1);
+    await().until(() -> metrics.meter("stream.s.appendFailures").getCount() == 1);
+    single.submit(() -> {}).get();
+
+    clockMs.set(2);
+
+    AppendFailedException failure = failureOf(result);
     assertThat(failure.type()).isEqualTo(AppendFailedException.Type.DEADLINE_PASSED);
     assertThat(failure.mayBeInLog()).isFalse();
+    paused.stop();
+    single.shutdownNow();
   }
 
   @Test
--- a/standins/src/test/java/org/hickorymoor/standins/JsonHttpClient.java
+++ b/standins/src/test/java/org/hickorymoor/standins/JsonHttpClient.java
@@ -34,6 +34,15 @@
     client.stop();
   }
 
+  /**
+   * Closes the pooled connections. After a restart of the server, a request on one of them may be
+   * sent before its end is noticed; a POST is then not repeated.
+   */
+  public void closeIdleConnections() throws Exception {
+    client.stop();
+    client.start();
+  }
+
   /** Sends a GET request and returns the unparsed response. */
   public ContentResponse getRaw(String path) throws Exception {
     return send(HttpMethod.GET, path, null);
--- a/standins/src/test/java/org/hickorymoor/standins/log/LogStandInTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/log/LogStandInTest.java
@@ -140,6 +140,7 @@
 
     log.stop();
     log.start();
+    client.closeIdleConnections();
 
     assertThat(append("a", "y")).isEqualTo(1);
   }
--- a/standins/src/test/java/org/hickorymoor/standins/proxy/FaultProxyTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/proxy/FaultProxyTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -156,9 +157,15 @@
 
   @Test
   void unreachableTargetResetsClient() throws Exception {
-    target.stop();
+    proxy.stop();
+    // Bound but not listening: keeps the port from other processes and refuses connections.
+    try (Socket reserved = new Socket()) {
+      reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      proxy = new FaultProxy(ProxySettings.to("127.0.0.1:" + reserved.getLocalPort(), 7));
+      proxy.start();
 
-    assertThrows(IOException.class, () -> echo(connect(), 'x'));
+      assertThrows(IOException.class, () -> echo(connect(), 'x'));
+    }
   }
 
   @Test
--- a/standins/src/test/java/org/hickorymoor/standins/worker/WorkerStandInTest.java
+++ b/standins/src/test/java/org/hickorymoor/standins/worker/WorkerStandInTest.java
@@ -186,6 +186,7 @@
 
     worker.stop();
     worker.start();
+    client.closeIdleConnections();
 
     assertThat(worker.address()).isEqualTo(address);
     SyncReply reply = sync(Map.of(), List.of(), 0);
