Replace a coordinator as soon as its loss can be known

Change: a coordinator whose heartbeat is late asks three peers to take over; a host whose call is refused counts the coordinator as lost after 550 ms without a heartbeat. Both claim only after the store has shown them that no newer heartbeat exists. A heartbeat carries its time of day; a host that starts and finds the newest one older than the election timeout claims at once. Readers of the former format read the new one.

Two faults of a hand-over mended on the way. Two claims of one epoch, 1 in 4,096 for each pair of claimants, would both have been confirmed, as the store takes the second for a repeat; the step is now 2^30. And the lease of a coordinator was measured by a clock that stands still while the host is suspended, so that it could renew runs that its successor counted as lost.

A peer that can't be connected to certainly has not stored a relayed record; such a request is refused at once instead of being held in doubt.

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerException.java
@@ -1,5 +1,8 @@
 package org.hickorymoor.daemon.peer;
 
+import java.util.concurrent.CompletionException;
+import org.jspecify.annotations.Nullable;
+
 /**
  * Thrown when a call to a peer yields no usable reply.
  *
@@ -55,4 +58,18 @@
   public boolean mayHaveTakenEffect() {
     return type == Type.NO_RESPONSE || type == Type.BAD_RESPONSE;
   }
+
+  /**
+   * Returns whether a call failed because no connection to the peer could be made.
+   *
+   * @param failure failure of the call, possibly wrapped; null if it did not fail
+   * @return true if the peer certainly did not receive the request
+   */
+  public static boolean isUnreachable(@Nullable Throwable failure) {
+    Throwable cause =
+        failure instanceof CompletionException && failure.getCause() != null
+            ? failure.getCause()
+            : failure;
+    return cause instanceof PeerException known && known.type() == Type.UNREACHABLE;
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -134,6 +134,15 @@
    */
   record AnnounceSubmission(String key, ByteBuffer value, boolean stored) implements PeerRequest {}
 
+  /**
+   * Asks the peer to take over from the sender, a coordinator that the store does not serve, if the
+   * store serves the peer; the reply is {@link PeerReply.Done} in either case.
+   *
+   * @param epoch epoch of the sender
+   * @param confirmedOffset offset of the sender's last heartbeat that the store confirmed
+   */
+  record RequestTakeover(long epoch, long confirmedOffset) implements PeerRequest {}
+
   /**
    * Asks the coordinator for the state of a job; the reply is {@link PeerReply.WorkloadReply}.
    *
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -18,6 +18,7 @@
   STORE_INTENT("store-intent", PeerRequest.StoreIntent.class),
   FETCH_INTENTS("fetch-intents", PeerRequest.FetchIntents.class),
   RELAY_SUBMISSION("relay-submission", PeerRequest.RelaySubmission.class),
+  REQUEST_TAKEOVER("request-takeover", PeerRequest.RequestTakeover.class),
   ANNOUNCE_SUBMISSION("announce-submission", PeerRequest.AnnounceSubmission.class),
   GET_WORKLOAD("get-workload", PeerRequest.GetWorkload.class),
   GET_QUEUE_DEPTH("get-queue-depth", PeerRequest.GetQueueDepth.class),
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -15,6 +15,7 @@
 import org.hickorymoor.daemon.peer.PeerRequest.ListJobs;
 import org.hickorymoor.daemon.peer.PeerRequest.ListWorkers;
 import org.hickorymoor.daemon.peer.PeerRequest.RelaySubmission;
+import org.hickorymoor.daemon.peer.PeerRequest.RequestTakeover;
 import org.hickorymoor.daemon.peer.PeerRequest.Status;
 import org.hickorymoor.daemon.peer.PeerRequest.StoreIntent;
 import org.hickorymoor.daemon.peer.PeerRequest.SubmitJob;
@@ -72,7 +73,13 @@
               GetQueueDepth.class,
               (out, get) -> out.packString(get.queue()),
               in -> new GetQueueDepth(in.unpackString()))
-          .add(15, 3, AskApproval.class, RequestCodec::writeAsk, RequestCodec::readAsk);
+          .add(15, 3, AskApproval.class, RequestCodec::writeAsk, RequestCodec::readAsk)
+          .add(
+              17,
+              2,
+              RequestTakeover.class,
+              RequestCodec::writeTakeover,
+              in -> new RequestTakeover(in.unpackLong(), in.unpackLong()));
 
   private RequestCodec() {}
 
@@ -85,6 +92,12 @@
     return new RelaySubmission(in.unpackString(), readBytes(in));
   }
 
+  private static void writeTakeover(MessagePacker out, RequestTakeover takeover)
+      throws IOException {
+    out.packLong(takeover.epoch());
+    out.packLong(takeover.confirmedOffset());
+  }
+
   private static void writeAnnounce(MessagePacker out, AnnounceSubmission announced)
       throws IOException {
     out.packString(announced.key());
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
@@ -1,15 +1,11 @@
 package org.hickorymoor.daemon.shard;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.List;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Chunk;
-import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
 import org.hickorymoor.daemon.port.KeyedLogPort.Page;
 import org.hickorymoor.daemon.port.KeyedLogPort.StoredRecord;
-import org.hickorymoor.daemon.port.KeyedLogPort.Writer;
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.jspecify.annotations.Nullable;
@@ -20,8 +16,9 @@
  * <p>The coordinator appends a heartbeat at a fixed interval. The other hosts wait for the next
  * one. When none arrives within the election timeout although the store answers, they claim the
  * next epoch with a conditional append that only one of them can win. An outage of the store
- * therefore never changes the coordinator. Not thread-safe; confined to the event loop thread,
- * except for {@link #current}.
+ * therefore never changes the coordinator. A host claims earlier if the coordinator refuses
+ * connections or asks for a successor, but only after the store has shown that there is no newer
+ * heartbeat. Not thread-safe; confined to the event loop thread, except for {@link #current}.
  */
 final class CoordinatorElection {
 
@@ -33,17 +30,16 @@
 
     /** This host is no longer the coordinator; called once for each {@link #onElected}. */
     void onDeposed(String reason);
+
+    /**
+     * The store does not serve this host, which coordinates; a peer that it serves may take over.
+     *
+     * @param confirmedOffset offset of the last confirmed heartbeat
+     */
+    void onStoreLost(long epoch, long confirmedOffset);
   }
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final String KEY = "coordinator";
-  private static final String WRITER = "coordinator";
-
-  /**
-   * A claim advances the epoch by a random step up to this value, so that simultaneous claims
-   * differ and the store can't mistake one for a repeat of the other.
-   */
-  private static final int MAX_EPOCH_STEP = 4_096;
 
   /** How long a host that became slow claims nothing; slow hosts recover within seconds. */
   private static final long CANDIDACY_PAUSE_MS = 8_000;
@@ -54,18 +50,26 @@
    */
   private static final int CLAIM_JITTER_MS = 150;
 
+  /**
+   * Age of the last heartbeat at which a coordinator that refuses connections is replaced; longer
+   * than the interval of heartbeats and an answer of the store.
+   */
+  private static final long UNREACHABLE_TIMEOUT_MS = 550;
+
   private final ShardEventLoop loop;
   private final KeyedLogPort log;
   private final ShardSettings settings;
   private final Listener listener;
   private volatile @Nullable CoordinatorRecord current;
-  private @Nullable CoordinatorRecord self;
+  private @Nullable CoordinatorTerm term;
   private long nextOffset;
-  private long sequence;
-  private boolean heartbeatInFlight;
-  private long heartbeatToken;
-  private boolean leaving;
-  private long confirmedNs;
+  private long lastRecordNs;
+
+  /** Number of the current series of reads; answers to earlier series are ignored. */
+  private long readSeries;
+
+  private boolean claimInFlight;
+  private boolean unreachableCheckScheduled;
   private boolean candidate = true;
   private boolean firstLoad = true;
   private boolean withdrawn;
@@ -82,7 +86,7 @@
 
   /** Starts following the heartbeats. */
   void start() {
-    loop.execute(this::load);
+    loop.execute(this::startReading);
   }
 
   /** Returns the latest known coordinator, which may be this host, or null if none is known. */
@@ -92,16 +96,17 @@
 
   /** Returns whether this host is the coordinator. */
   boolean isSelf() {
-    return self != null;
+    return term != null;
   }
 
   /**
    * Returns when the coordinator's lease ends, up to which it may renew the leases of workers.
    *
-   * @return time on the clock of {@link ShardEventLoop#nowNs}
+   * @return time on the clock of {@link ShardEventLoop#nowNs}; now if this host does not coordinate
    */
   long coordinatorLeaseEndsNs() {
-    return confirmedNs + TimeUnit.MILLISECONDS.toNanos(ShardSettings.COORDINATOR_LEASE_MS);
+    CoordinatorTerm own = term;
+    return own == null ? loop.nowNs() : own.leaseEndsNs();
   }
 
   /**
@@ -119,7 +124,8 @@
    * successor that is no faster requests another one in turn.
    */
   void pauseCandidacy(String reason) {
-    if (self == null || leaving) {
+    CoordinatorTerm own = term;
+    if (own == null || own.isLeaving()) {
       return;
     }
     candidate = false;
@@ -130,101 +136,182 @@
   private void resumeCandidacy() {
     if (!withdrawn) {
       candidate = true;
-      leaving = false;
+      if (term != null) {
+        term.cancelRequest();
+      }
     }
   }
 
   private void requestSuccessor(String reason) {
-    CoordinatorRecord incumbent = self;
-    if (incumbent == null || leaving) {
+    CoordinatorTerm own = term;
+    if (own == null || own.isLeaving()) {
       return;
     }
-    logger.atInfo().log(
-        "ownership: Requesting a successor for epoch %d: %s.", incumbent.epoch(), reason);
-    leaving = true;
-    heartbeatToken++;
-    sendHeartbeat(incumbent, heartbeatToken);
+    logger.atInfo().log("ownership: Requesting a successor for epoch %d: %s.", own.epoch(), reason);
+    own.requestSuccessor();
   }
 
   /** Stops sending heartbeats, following and claiming. */
   void stop() {
     stopped = true;
+    if (term != null) {
+      term.stop();
+    }
   }
 
   /** Ends the term of this host because a successor has been seen. */
   void stepDown(String reason) {
-    if (self != null) {
-      endTerm(reason);
-      load();
+    CoordinatorTerm own = term;
+    if (own != null) {
+      own.stop();
+      endTerm(own, reason);
+    }
+  }
+
+  /**
+   * Claims at once if the coordinator asks for a successor because the store does not serve it, and
+   * it serves this host.
+   *
+   * @param epoch epoch of the coordinator
+   * @param confirmedOffset offset of its last confirmed heartbeat
+   */
+  void onSuccessorRequested(long epoch, long confirmedOffset) {
+    claimIfSilent(epoch, confirmedOffset + 1, "the store does not serve the coordinator");
+  }
+
+  /**
+   * Claims early if no heartbeat follows after the coordinator has refused a connection.
+   *
+   * @param epoch epoch of the coordinator
+   */
+  void onCoordinatorUnreachable(long epoch) {
+    CoordinatorRecord latest = current;
+    if (unreachableCheckScheduled || latest == null || latest.epoch() != epoch) {
+      return;
+    }
+    unreachableCheckScheduled = true;
+    final long seenOffset = nextOffset;
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - lastRecordNs);
+    loop.schedule(
+        Math.max(0, UNREACHABLE_TIMEOUT_MS - ageMs),
+        () -> {
+          unreachableCheckScheduled = false;
+          if (nextOffset == seenOffset) {
+            claimIfSilent(epoch, seenOffset, "the coordinator refuses connections");
+          }
+        });
+  }
+
+  /** Claims if the store answers and shows no record at or after the expected end. */
+  private void claimIfSilent(long epoch, long expectedEnd, String reason) {
+    CoordinatorRecord latest = current;
+    if (!mayClaim() || storeUnavailable || latest == null || latest.epoch() != epoch) {
+      return;
     }
+    loop.then(
+        log.readNewest(KeyedStream.OWNERSHIP, null, ShardSettings.STORE_TIMEOUT_MS),
+        (page, failure) -> {
+          CoordinatorRecord newest = current;
+          if (page != null
+              && page.endOffset() == expectedEnd
+              && newest != null
+              && newest.epoch() == epoch) {
+            logger.atInfo().log("ownership: Replacing epoch %d: %s.", epoch, reason);
+            nextOffset = expectedEnd;
+            scheduleClaim();
+          }
+        });
+  }
+
+  private boolean mayClaim() {
+    return !stopped && term == null && candidate && !claimInFlight;
+  }
+
+  private void startReading() {
+    readSeries++;
+    load(readSeries);
+  }
+
+  private boolean isOutdated(long series) {
+    return stopped || term != null || series != readSeries;
   }
 
-  private void load() {
-    if (stopped || self != null) {
+  private void load(long series) {
+    if (isOutdated(series)) {
       return;
     }
     loop.then(
         log.readNewest(KeyedStream.OWNERSHIP, null, ShardSettings.STORE_TIMEOUT_MS),
-        this::onLoaded);
+        (page, failure) -> onLoaded(series, page, failure));
   }
 
-  private void onLoaded(@Nullable Page page, @Nullable PlatformException failure) {
+  private void onLoaded(long series, @Nullable Page page, @Nullable PlatformException failure) {
+    if (isOutdated(series)) {
+      return;
+    }
     if (page == null) {
       onStoreFailed(failure);
-      loop.schedule(ShardSettings.STORE_RETRY_MS, this::load);
+      firstLoad = false;
+      loop.schedule(ShardSettings.STORE_RETRY_MS, () -> load(series));
       return;
     }
     onStoreAnswered();
     nextOffset = page.endOffset();
     page.records().forEach(this::onRecord);
     CoordinatorRecord latest = current;
-    boolean wasCoordinator =
-        firstLoad && latest != null && latest.hostId().equals(settings.hostId());
+    boolean abandoned = firstLoad && latest != null && isFromBeforeRestart(latest);
     firstLoad = false;
-    if (latest == null || wasCoordinator || latest.leaving()) {
-      // A record that names this host is from before a restart, so no host coordinates now.
+    if (latest == null || abandoned || latest.leaving()) {
       scheduleClaim();
-    } else {
-      follow();
     }
+    follow(series);
   }
 
-  private void follow() {
-    if (stopped || self != null) {
+  /**
+   * Returns whether a record that this host reads right after its start is from a coordinator that
+   * is gone: this host itself, before its restart, or one that has sent no heartbeat for too long.
+   * Where clocks differ, this may replace a coordinator needlessly, which does no harm.
+   */
+  private boolean isFromBeforeRestart(CoordinatorRecord latest) {
+    return latest.hostId().equals(settings.hostId())
+        || (latest.sentAtMs() > 0
+            && loop.nowMs() - latest.sentAtMs() > ShardSettings.ELECTION_TIMEOUT_MS);
+  }
+
+  private void follow(long series) {
+    if (isOutdated(series)) {
       return;
     }
     long waitMs = ShardSettings.ELECTION_TIMEOUT_MS;
     loop.then(
         log.read(
             KeyedStream.OWNERSHIP, nextOffset, waitMs, waitMs + ShardSettings.STORE_TIMEOUT_MS),
-        this::onFollowed);
+        (chunk, failure) -> onFollowed(series, chunk, failure));
   }
 
-  private void onFollowed(@Nullable Chunk chunk, @Nullable PlatformException failure) {
+  private void onFollowed(long series, @Nullable Chunk chunk, @Nullable PlatformException failure) {
+    if (isOutdated(series)) {
+      return;
+    }
     if (failure != null && failure.type() == PlatformException.Type.TRIMMED) {
-      load();
+      load(series);
       return;
     }
     if (chunk == null) {
       onStoreFailed(failure);
-      loop.schedule(ShardSettings.STORE_RETRY_MS, this::load);
+      loop.schedule(ShardSettings.STORE_RETRY_MS, () -> load(series));
       return;
     }
     onStoreAnswered();
-    if (chunk.records().isEmpty()) {
-      scheduleClaim();
-      return;
-    }
     for (StoredRecord stored : chunk.records()) {
       onRecord(stored);
-      nextOffset = stored.offset() + 1;
+      nextOffset = Math.max(nextOffset, stored.offset() + 1);
     }
     CoordinatorRecord latest = current;
-    if (latest != null && latest.leaving()) {
+    if (chunk.records().isEmpty() || (latest != null && latest.leaving())) {
       scheduleClaim();
-    } else {
-      follow();
     }
+    follow(series);
   }
 
   private void onRecord(StoredRecord stored) {
@@ -234,6 +321,7 @@
           "ownership: Malformed coordinator record at offset %d, ignored.", stored.offset());
       return;
     }
+    lastRecordNs = loop.nowNs();
     CoordinatorRecord previous = current;
     if (previous == null || record.epoch() >= previous.epoch()) {
       if (previous == null || record.epoch() > previous.epoch()) {
@@ -245,153 +333,61 @@
     }
   }
 
+  /** Claims after a random delay, unless a newer record is read in the meantime. */
   private void scheduleClaim() {
-    if (!candidate) {
-      loop.schedule(ShardSettings.HEARTBEAT_MS, this::follow);
-      return;
-    }
-    loop.schedule(loop.random().nextInt(CLAIM_JITTER_MS), this::claim);
+    final long expectedEnd = nextOffset;
+    loop.schedule(
+        loop.random().nextInt(CLAIM_JITTER_MS),
+        () -> {
+          if (nextOffset == expectedEnd) {
+            claim(expectedEnd);
+          }
+        });
   }
 
-  private void claim() {
-    if (stopped || self != null || !candidate) {
+  private void claim(long expectedEnd) {
+    if (!mayClaim()) {
       return;
     }
-    CoordinatorRecord previous = current;
-    long epoch =
-        (previous == null ? 0 : previous.epoch()) + 1 + loop.random().nextInt(MAX_EPOCH_STEP);
-    CoordinatorRecord claim =
-        new CoordinatorRecord(
-            epoch, settings.hostId(), settings.peerAddress(), UUID.randomUUID().toString(), false);
-    long sentNs = loop.nowNs();
-    loop.then(
-        log.append(
-            KeyedStream.OWNERSHIP,
-            List.of(new Entry(KEY, claim.encode())),
-            new Writer(WRITER, epoch, 0),
-            nextOffset,
-            ShardSettings.STORE_TIMEOUT_MS),
-        (offset, failure) -> onClaimed(claim, sentNs, offset, failure));
+    claimInFlight = true;
+    CoordinatorRecord latest = current;
+    new CoordinatorClaim(loop, log, settings, latest == null ? 0 : latest.epoch(), expectedEnd)
+        .send(
+            (claim, offset) -> onClaimWon(claim, offset),
+            newest -> {
+              claimInFlight = false;
+              newest.records().forEach(this::onRecord);
+              nextOffset = Math.max(nextOffset, newest.endOffset());
+            });
   }
 
-  private void onClaimed(
-      CoordinatorRecord claim,
-      long sentNs,
-      @Nullable Long offset,
-      @Nullable PlatformException failure) {
-    if (stopped) {
-      return;
-    }
-    if (offset == null) {
-      logger.atInfo().log(
-          "ownership: Claim of epoch %d failed: %s",
-          claim.epoch(), failure == null ? "no offset" : failure.getMessage());
-      // A claim without an answer may have succeeded; the stored record decides.
-      verifyClaim(claim, sentNs);
-      return;
-    }
-    if (offset != nextOffset) {
-      load();
+  private void onClaimWon(CoordinatorClaim won, long offset) {
+    claimInFlight = false;
+    if (stopped || term != null) {
       return;
     }
-    onClaimWon(claim, sentNs);
-  }
-
-  private void verifyClaim(CoordinatorRecord claim, long sentNs) {
-    loop.then(
-        log.readNewest(KeyedStream.OWNERSHIP, null, ShardSettings.STORE_TIMEOUT_MS),
-        (page, failure) -> {
-          if (page == null) {
-            loop.schedule(ShardSettings.STORE_RETRY_MS, () -> verifyClaim(claim, sentNs));
-            return;
-          }
-          CoordinatorRecord stored =
-              page.records().isEmpty()
-                  ? null
-                  : CoordinatorRecord.decode(page.records().get(0).value());
-          if (stored != null && stored.nonce().equals(claim.nonce())) {
-            onClaimWon(claim, sentNs);
-          } else {
-            onLoaded(page, null);
-          }
-        });
-  }
-
-  private void onClaimWon(CoordinatorRecord claim, long sentNs) {
+    CoordinatorRecord claim = won.record();
     logger.atInfo().log("ownership: This host is elected coordinator, epoch %d.", claim.epoch());
-    self = claim;
+    TermListener termListener = new TermListener();
+    CoordinatorTerm own = new CoordinatorTerm(loop, log, claim, won.sentNs(), offset, termListener);
+    termListener.term = own;
+    term = own;
     current = claim;
-    sequence = 1;
-    confirmedNs = sentNs;
-    leaving = !candidate;
     listener.onElected(claim);
-    scheduleHeartbeat(claim, ShardSettings.HEARTBEAT_MS);
-  }
-
-  private void scheduleHeartbeat(CoordinatorRecord claim, long delayMs) {
-    heartbeatToken++;
-    long token = heartbeatToken;
-    loop.schedule(delayMs, () -> sendHeartbeat(claim, token));
-  }
-
-  private void sendHeartbeat(CoordinatorRecord claim, long token) {
-    if (stopped || self != claim || token != heartbeatToken || heartbeatInFlight) {
-      return;
+    own.start();
+    if (!candidate) {
+      own.requestSuccessor();
     }
-    heartbeatInFlight = true;
-    long sentNs = loop.nowNs();
-    boolean announcesLeaving = leaving;
-    loop.then(
-        log.append(
-            KeyedStream.OWNERSHIP,
-            List.of(new Entry(KEY, (announcesLeaving ? claim.asLeaving() : claim).encode())),
-            new Writer(WRITER, claim.epoch(), sequence),
-            KeyedLogPort.ANY_OFFSET,
-            ShardSettings.HEARTBEAT_TIMEOUT_MS),
-        (offset, failure) -> {
-          heartbeatInFlight = false;
-          onHeartbeatCompleted(claim, sentNs, announcesLeaving, failure);
-        });
   }
 
-  private void onHeartbeatCompleted(
-      CoordinatorRecord claim,
-      long sentNs,
-      boolean announcedLeaving,
-      @Nullable PlatformException failure) {
-    if (stopped || self != claim) {
-      return;
-    }
-    if (failure == null) {
-      onStoreAnswered();
-      sequence++;
-      confirmedNs = sentNs;
-      scheduleHeartbeat(claim, announcedLeaving == leaving ? ShardSettings.HEARTBEAT_MS : 0);
+  private void endTerm(CoordinatorTerm own, String reason) {
+    if (term != own) {
       return;
     }
-    if (failure.type() == PlatformException.Type.FENCED) {
-      endTerm("another host took over: " + failure.getMessage());
-      load();
-      return;
-    }
-    onStoreFailed(failure);
-    if (loop.nowNs() - coordinatorLeaseEndsNs() >= 0) {
-      endTerm("no heartbeat confirmed for " + ShardSettings.COORDINATOR_LEASE_MS + " ms");
-      load();
-      return;
-    }
-    scheduleHeartbeat(claim, ShardSettings.STORE_RETRY_MS);
-  }
-
-  private void endTerm(String reason) {
-    CoordinatorRecord endedTerm = self;
-    self = null;
-    leaving = false;
-    if (endedTerm != null) {
-      logger.atInfo().log(
-          "ownership: Term of this host ended, epoch %d: %s.", endedTerm.epoch(), reason);
-      listener.onDeposed(reason);
-    }
+    term = null;
+    logger.atInfo().log("ownership: Term of this host ended, epoch %d: %s.", own.epoch(), reason);
+    listener.onDeposed(reason);
+    startReading();
   }
 
   private void onStoreAnswered() {
@@ -409,4 +405,33 @@
           failure == null ? "no reason" : failure.getMessage());
     }
   }
+
+  /** Listens to the heartbeats of this host's term. */
+  private final class TermListener implements CoordinatorTerm.Listener {
+    private @Nullable CoordinatorTerm term;
+
+    @Override
+    public void onStoreAnswered() {
+      CoordinatorElection.this.onStoreAnswered();
+    }
+
+    @Override
+    public void onStoreFailed(PlatformException failure) {
+      CoordinatorElection.this.onStoreFailed(failure);
+    }
+
+    @Override
+    public void onHeartbeatLate(long confirmedOffset) {
+      if (term != null) {
+        listener.onStoreLost(term.epoch(), confirmedOffset);
+      }
+    }
+
+    @Override
+    public void onEnded(String reason) {
+      if (term != null) {
+        endTerm(term, reason);
+      }
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorRecord.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorRecord.java
@@ -13,15 +13,26 @@
  * @param address ip:port where peers reach it
  * @param nonce distinguishes two claims of the same epoch
  * @param leaving whether it requests a successor; it coordinates until there is one
+ * @param sentAtMs time of day when the heartbeat was sent, in ms since 1970; 0 if not stated
  */
-record CoordinatorRecord(long epoch, String hostId, String address, String nonce, boolean leaving) {
+record CoordinatorRecord(
+    long epoch, String hostId, String address, String nonce, boolean leaving, long sentAtMs) {
+
+  /** Key of the record in its stream. */
+  static final String KEY = "coordinator";
+
+  /** Writer of the records; shared by all hosts, so that a newer epoch fences older ones. */
+  static final String WRITER = "coordinator";
 
   private static final int FIELDS = 5;
   private static final String LEAVING = "leaving";
   private static final String ACTIVE = "active";
 
+  /** Separates the state from the time; readers that don't know the time ignore both. */
+  private static final String TIME_SEPARATOR = "@";
+
   byte[] encode() {
-    String state = leaving ? LEAVING : ACTIVE;
+    String state = leaving ? LEAVING : ACTIVE + TIME_SEPARATOR + sentAtMs;
     return String.join("\n", List.of(Long.toString(epoch), hostId, address, nonce, state))
         .getBytes(UTF_8);
   }
@@ -32,15 +43,25 @@
     if (fields.length != FIELDS) {
       return null;
     }
+    int separator = fields[4].indexOf(TIME_SEPARATOR);
     try {
       return new CoordinatorRecord(
-          Long.parseLong(fields[0]), fields[1], fields[2], fields[3], LEAVING.equals(fields[4]));
+          Long.parseLong(fields[0]),
+          fields[1],
+          fields[2],
+          fields[3],
+          LEAVING.equals(fields[4]),
+          separator < 0 ? 0 : Long.parseLong(fields[4].substring(separator + 1)));
     } catch (NumberFormatException e) {
       return null;
     }
   }
 
   CoordinatorRecord asLeaving() {
-    return new CoordinatorRecord(epoch, hostId, address, nonce, true);
+    return new CoordinatorRecord(epoch, hostId, address, nonce, true, 0);
+  }
+
+  CoordinatorRecord sentAt(long nowMs) {
+    return new CoordinatorRecord(epoch, hostId, address, nonce, false, nowMs);
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
@@ -0,0 +1,143 @@
+package org.hickorymoor.daemon.shard;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.hickorymoor.daemon.peer.PeerErrorType;
+import org.hickorymoor.daemon.peer.PeerException;
+import org.hickorymoor.daemon.peer.PeerReply;
+import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.daemon.port.PeerPort;
+import org.hickorymoor.daemon.shard.Shard.StoreResult;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Stores one record, alternating between the store and relays through peers.
+ *
+ * <p>A record that is definitely not stored is given up once neither this host nor its peers reach
+ * the store. One that may be stored is retried until the deadline, since only an answer resolves
+ * the doubt.
+ */
+final class RelayedAppend {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /**
+   * A store that is 60 times slower than usual answers within this time; after it, an answer counts
+   * as lost.
+   */
+  static final long TIMEOUT_MS = 1_000;
+
+  /** Peers tried for an append before a request is refused. */
+  private static final int MAX_RELAY_PEERS = 2;
+
+  private static final long RETRY_DELAY_MS = 60;
+
+  private final CompletableFuture<StoreResult> result = new CompletableFuture<>();
+  private final ShardEventLoop loop;
+  private final SubmissionWriter submissions;
+  private final PeerPort peers;
+  private final Supplier<List<String>> nextPeer;
+  private final String key;
+  private final byte[] value;
+  private long deadlineNs;
+  private boolean uncertain;
+  private int peersTried;
+
+  /**
+   * Creates an append.
+   *
+   * @param nextPeer supplies the address of another host, or nothing if there is none
+   */
+  RelayedAppend(
+      ShardEventLoop loop,
+      SubmissionWriter submissions,
+      PeerPort peers,
+      Supplier<List<String>> nextPeer,
+      String key,
+      byte[] value) {
+    this.loop = loop;
+    this.submissions = submissions;
+    this.peers = peers;
+    this.nextPeer = nextPeer;
+    this.key = key;
+    this.value = value;
+  }
+
+  /** Starts the append; the future never fails. */
+  CompletableFuture<StoreResult> start(long withinMs) {
+    deadlineNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+    tryStore();
+    return result;
+  }
+
+  private long remainingMs() {
+    return TimeUnit.NANOSECONDS.toMillis(deadlineNs - loop.nowNs());
+  }
+
+  private void tryStore() {
+    loop.then(
+        submissions.append(key, value, timeoutMs()),
+        (done, failure) -> {
+          if (failure == null) {
+            result.complete(StoreResult.YES);
+            return;
+          }
+          uncertain |= failure.mayHaveTakenEffect();
+          if (!completeIfOver()) {
+            tryPeer();
+          }
+        });
+  }
+
+  private long timeoutMs() {
+    return Math.max(1, Math.min(TIMEOUT_MS, remainingMs()));
+  }
+
+  private void tryPeer() {
+    peersTried++;
+    for (String peer : nextPeer.get()) {
+      var unused =
+          peers
+              .call(peer, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs())
+              .whenComplete((reply, failure) -> loop.execute(() -> onRelayed(reply, failure)));
+      return;
+    }
+    retryLater();
+  }
+
+  private void onRelayed(@Nullable PeerReply reply, @Nullable Throwable failure) {
+    if (reply instanceof PeerReply.Done) {
+      result.complete(StoreResult.YES);
+      return;
+    }
+    uncertain |= !isDefiniteRefusal(reply) && !PeerException.isUnreachable(failure);
+    retryLater();
+  }
+
+  private static boolean isDefiniteRefusal(@Nullable PeerReply reply) {
+    return reply instanceof PeerReply.Refused refused
+        && (refused.type() == PeerErrorType.OVERLOADED || refused.type() == PeerErrorType.STOPPING);
+  }
+
+  private void retryLater() {
+    if (!completeIfOver()) {
+      loop.schedule(RETRY_DELAY_MS, this::tryStore);
+    }
+  }
+
+  private boolean completeIfOver() {
+    boolean certainlyNotStored = !uncertain && peersTried >= MAX_RELAY_PEERS;
+    if (remainingMs() > RETRY_DELAY_MS && !certainlyNotStored) {
+      return false;
+    }
+    logger.atInfo().log(
+        "submissions: Giving up on record %s, %s.",
+        key, uncertain ? "which may be stored" : "which is not stored");
+    result.complete(uncertain ? StoreResult.UNKNOWN : StoreResult.NO);
+    return true;
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -2,14 +2,16 @@
 
 import static java.util.concurrent.CompletableFuture.completedFuture;
 
-import com.google.common.flogger.FluentLogger;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hickorymoor.daemon.peer.ByteBuffers;
 import org.hickorymoor.daemon.peer.PeerErrorType;
+import org.hickorymoor.daemon.peer.PeerException;
 import org.hickorymoor.daemon.peer.PeerHandler;
 import org.hickorymoor.daemon.peer.PeerReply;
 import org.hickorymoor.daemon.peer.PeerRequest;
@@ -33,18 +35,13 @@
  */
 public final class Shard implements PeerHandler {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long RETRY_DELAY_MS = 60;
 
-  /**
-   * A store that is 60 times slower than usual answers within this time; after it, an answer counts
-   * as lost.
-   */
-  private static final long APPEND_TIMEOUT_MS = 1_000;
+  /** Peers that a coordinator asks to take over; some of them may not be served either. */
+  private static final int TAKEOVER_REQUEST_PEERS = 3;
 
-  /** Peers tried for an append before a request is refused. */
-  private static final int MAX_RELAY_PEERS = 2;
-
-  private static final long RETRY_DELAY_MS = 60;
+  /** Interval at which a coordinator that the store does not serve asks further peers. */
+  private static final long TAKEOVER_REQUEST_INTERVAL_MS = 400;
 
   /** Timeout of one call to the coordinator; the query is then repeated. */
   private static final long QUERY_TIMEOUT_MS = 700;
@@ -87,6 +84,7 @@
   private final RecentJobIds recentJobs = new RecentJobIds(RECENT_JOB_LIMIT);
   private final EventLoopLagMonitor lagMonitor;
   private @Nullable JobScheduler scheduler;
+  private long takeoverRequestedNs;
   private volatile boolean elected;
 
   /**
@@ -113,6 +111,8 @@
     this.loop = loop;
     this.metrics = metrics;
     this.settings = settings;
+    this.takeoverRequestedNs =
+        loop.nowNs() - TimeUnit.MILLISECONDS.toNanos(TAKEOVER_REQUEST_INTERVAL_MS);
     this.log = log;
     this.workers = workers;
     this.approvalPort = approvalPort;
@@ -197,8 +197,8 @@
             activeScheduler.onAnnounced(key, value, stored);
           } else if (coordinator != null && !election.isSelf()) {
             var unused =
-                peers.call(
-                    coordinator.address(),
+                callCoordinator(
+                    coordinator,
                     new PeerRequest.AnnounceSubmission(key, ByteBuffer.wrap(value), stored),
                     QUERY_TIMEOUT_MS);
           }
@@ -217,113 +217,24 @@
   }
 
   private CompletableFuture<StoreResult> store(String key, byte[] value, long withinMs) {
-    StoreAttempt attempt = new StoreAttempt(key, value, withinMs);
     final long beganNs = loop.nowNs();
-    attempt.tryStore();
-    return attempt.result.whenComplete(
-        (stored, failure) -> metrics.submissionStored(stored, loop.nowNs() - beganNs));
-  }
-
-  /**
-   * Stores one record, alternating between the store and relays through peers.
-   *
-   * <p>A record that is definitely not stored is given up once neither this host nor its peers
-   * reach the store. One that may be stored is retried until the deadline, since only an answer
-   * resolves the doubt.
-   */
-  private final class StoreAttempt {
-    private final CompletableFuture<StoreResult> result = new CompletableFuture<>();
-    private final String key;
-    private final byte[] value;
-    private final long deadlineNs;
-    private boolean uncertain;
-    private int peersTried;
-
-    StoreAttempt(String key, byte[] value, long withinMs) {
-      this.key = key;
-      this.value = value;
-      this.deadlineNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs);
-    }
-
-    private long remainingMs() {
-      return TimeUnit.NANOSECONDS.toMillis(deadlineNs - loop.nowNs());
-    }
-
-    private void tryStore() {
-      long timeoutMs = Math.max(1, Math.min(APPEND_TIMEOUT_MS, remainingMs()));
-      loop.then(
-          submissions.append(key, value, timeoutMs),
-          (done, failure) -> {
-            if (failure == null) {
-              result.complete(StoreResult.YES);
-              return;
-            }
-            uncertain |= failure.mayHaveTakenEffect();
-            if (!completeIfOver()) {
-              tryPeer();
-            }
-          });
-    }
-
-    private void tryPeer() {
-      String peer = randomPeer();
-      peersTried++;
-      if (peer == null) {
-        retryLater();
-        return;
-      }
-      long timeoutMs = Math.max(1, Math.min(APPEND_TIMEOUT_MS, remainingMs()));
-      relay(peer, timeoutMs);
-    }
-
-    private void relay(String address, long timeoutMs) {
-      var unused =
-          peers
-              .call(
-                  address, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs)
-              .whenComplete((reply, failure) -> loop.execute(() -> onRelayed(reply)));
-    }
-
-    private void onRelayed(@Nullable PeerReply reply) {
-      if (reply instanceof PeerReply.Done) {
-        result.complete(StoreResult.YES);
-        return;
-      }
-      // Without an answer, the peer may have stored it.
-      uncertain |=
-          !(reply instanceof PeerReply.Refused refused && isDefiniteRefusal(refused.type()));
-      retryLater();
-    }
-
-    private void retryLater() {
-      if (!completeIfOver()) {
-        loop.schedule(RETRY_DELAY_MS, this::tryStore);
-      }
-    }
-
-    private boolean completeIfOver() {
-      boolean certainlyNotStored = !uncertain && peersTried >= MAX_RELAY_PEERS;
-      if (remainingMs() > RETRY_DELAY_MS && !certainlyNotStored) {
-        return false;
-      }
-      logger.atInfo().log(
-          "submissions: Giving up on record %s, %s.",
-          key, uncertain ? "which may be stored" : "which is not stored");
-      result.complete(uncertain ? StoreResult.UNKNOWN : StoreResult.NO);
-      return true;
-    }
-  }
-
-  private static boolean isDefiniteRefusal(PeerErrorType type) {
-    return type == PeerErrorType.OVERLOADED || type == PeerErrorType.STOPPING;
+    RelayedAppend append =
+        new RelayedAppend(loop, submissions, peers, () -> randomPeers(1), key, value);
+    return append
+        .start(withinMs)
+        .whenComplete(
+            (stored, failure) -> metrics.submissionStored(stored, loop.nowNs() - beganNs));
   }
 
-  private @Nullable String randomPeer() {
+  /** Returns the addresses of up to this many other hosts, picked at random. */
+  private List<String> randomPeers(int count) {
     List<String> others =
-        hosts.addresses().stream()
-            .filter(address -> !address.equals(settings.peerAddress()))
-            .toList();
-    return others.isEmpty() ? null : others.get(loop.random().nextInt(others.size()));
+        new ArrayList<>(
+            hosts.addresses().stream()
+                .filter(address -> !address.equals(settings.peerAddress()))
+                .toList());
+    Collections.shuffle(others, loop.random());
+    return others.subList(0, Math.min(count, others.size()));
   }
 
   /**
@@ -372,6 +283,19 @@
     return result;
   }
 
+  /** Calls the coordinator; a refused connection may end its term early. */
+  private CompletableFuture<PeerReply> callCoordinator(
+      CoordinatorRecord coordinator, PeerRequest request, long timeoutMs) {
+    return peers
+        .call(coordinator.address(), request, timeoutMs)
+        .whenComplete(
+            (reply, failure) -> {
+              if (PeerException.isUnreachable(failure)) {
+                loop.execute(() -> election.onCoordinatorUnreachable(coordinator.epoch()));
+              }
+            });
+  }
+
   /** Queries the coordinator until it answers; the handler receives null at the deadline. */
   private void queryCoordinator(
       PeerRequest request, long deadlineNs, Consumer<@Nullable PeerReply> handler) {
@@ -395,8 +319,7 @@
             return;
           }
           var unused =
-              peers
-                  .call(coordinator.address(), request, Math.min(QUERY_TIMEOUT_MS, remainingMs))
+              callCoordinator(coordinator, request, Math.min(QUERY_TIMEOUT_MS, remainingMs))
                   .whenComplete(
                       (reply, failure) -> {
                         if (reply == null || reply instanceof PeerReply.Refused) {
@@ -455,7 +378,7 @@
   public CompletableFuture<PeerReply> handle(PeerRequest request) {
     if (request instanceof PeerRequest.RelaySubmission relay) {
       return submissions
-          .append(relay.key(), ByteBuffers.copyRemaining(relay.value()), APPEND_TIMEOUT_MS)
+          .append(relay.key(), ByteBuffers.copyRemaining(relay.value()), RelayedAppend.TIMEOUT_MS)
           .handle((done, failure) -> toRelayReply(ShardEventLoop.unwrap(failure)));
     }
     if (request instanceof PeerRequest.AskApproval ask) {
@@ -479,6 +402,11 @@
           });
       return completedFuture(new PeerReply.Done());
     }
+    if (request instanceof PeerRequest.RequestTakeover takeover) {
+      loop.execute(
+          () -> election.onSuccessorRequested(takeover.epoch(), takeover.confirmedOffset()));
+      return completedFuture(new PeerReply.Done());
+    }
     CompletableFuture<PeerReply> result = new CompletableFuture<>();
     loop.execute(() -> result.complete(answerLocally(request)));
     return result;
@@ -545,5 +473,19 @@
     public void onDeposed(String reason) {
       closeScheduler();
     }
+
+    @Override
+    public void onStoreLost(long epoch, long confirmedOffset) {
+      long sinceNs = loop.nowNs() - takeoverRequestedNs;
+      if (sinceNs < TimeUnit.MILLISECONDS.toNanos(TAKEOVER_REQUEST_INTERVAL_MS)) {
+        return;
+      }
+      takeoverRequestedNs = loop.nowNs();
+      for (String peer : randomPeers(TAKEOVER_REQUEST_PEERS)) {
+        var unused =
+            peers.call(
+                peer, new PeerRequest.RequestTakeover(epoch, confirmedOffset), QUERY_TIMEOUT_MS);
+      }
+    }
   }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -62,6 +62,7 @@
     private long lapsedUpTo;
     private boolean up = true;
     private boolean disconnected;
+    private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
     private double droppedAnswerShare;
 
@@ -93,6 +94,11 @@
       disconnected = on;
     }
 
+    /** Blocks the calls of one host. */
+    void block(String host) {
+      blockedHosts.add(host);
+    }
+
     /** Sets the share of starts and stops that are carried out seconds later and not answered. */
     void delayStartsAndStops(double share) {
       delayedRequestShare = share;
@@ -288,12 +294,17 @@
         id, id, "pool", "d", "r1-1", Set.of("a"), CPU_MILLIS, MEMORY_MB, 0, draining);
   }
 
-  /** Returns the workers as seen by hosts. */
-  TaskWorkerPort port() {
-    return new Port();
+  /** Returns the workers as seen by a host. */
+  TaskWorkerPort port(String host) {
+    return new Port(host);
   }
 
   private final class Port implements TaskWorkerPort {
+    private final String host;
+
+    Port(String host) {
+      this.host = host;
+    }
 
     private <T> CompletableFuture<T> call(
         WorkerDescriptor descriptor,
@@ -311,7 +322,7 @@
       time.after(
           LINK_LATENCY_MS,
           () -> {
-            if (worker.disconnected || !worker.up) {
+            if (worker.disconnected || !worker.up || worker.blockedHosts.contains(host)) {
               return;
             }
             if (delayable && time.random().nextDouble() < worker.delayedRequestShare) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -254,6 +254,76 @@
     assertThat(cell.workers.violations()).isEmpty();
   }
 
+  @Test
+  void suspendedCoordinatorKeepsNoRunAliveThatItsSuccessorCountsAsLost() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    final String suspended = awaitCoordinator();
+    cell.submit(hostOtherThan(suspended), "job", step(8, List.of(), true));
+    cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
+    cell.time.advance(13_000);
+    FakeWorkers.Worker worker =
+        cell.workers.get(Objects.requireNonNull(cell.workers.workerOf("job.0.0.0")));
+    cell.hostNames().stream().filter(name -> !name.equals(suspended)).forEach(worker::block);
+
+    // The store refuses the suspended host, so that it learns of no successor.
+    cell.store.refuseHost(suspended, true);
+    cell.suspend(suspended, 5_000);
+    cell.time.advance(30_000);
+
+    assertThat(cell.workers.running()).hasSize(8);
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void coordinatorThatStoreRefusesIsReplacedAtOnce() {
+    final String refused = awaitCoordinator();
+    cell.time.advance(3_000);
+    cell.store.refuseHost(refused, true);
+
+    assertThat(cell.time.advanceUntil(800, () -> hasOtherCoordinator(refused))).isTrue();
+  }
+
+  @Test
+  void slowStoreReplacesNoCoordinator() {
+    final String initialCoordinator = awaitCoordinator();
+    cell.time.advance(3_000);
+    cell.store.answerMs(400);
+    cell.time.advance(10_000);
+    cell.store.answerMs(3);
+    cell.time.advance(2_000);
+
+    assertThat(cell.coordinator()).isEqualTo(initialCoordinator);
+  }
+
+  @Test
+  void coordinatorThatRefusesConnectionsIsReplacedBeforeTheElectionTimeout() {
+    final String killed = awaitCoordinator();
+    cell.time.advance(3_000);
+    cell.kill(killed);
+    cell.submit(hostOtherThan(killed), "job", step(1, List.of(), false));
+
+    assertThat(cell.time.advanceUntil(900, () -> hasOtherCoordinator(killed))).isTrue();
+  }
+
+  @Test
+  void hostsThatStartWithoutTheFormerCoordinatorClaimAtOnce() {
+    final String former = awaitCoordinator();
+    cell.hostNames().forEach(cell::kill);
+    cell.time.advance(2_000);
+    cell.hostNames().stream().filter(name -> !name.equals(former)).forEach(cell::startHost);
+
+    assertThat(cell.time.advanceUntil(600, () -> hasOtherCoordinator(former))).isTrue();
+  }
+
+  private boolean hasOtherCoordinator(String name) {
+    return cell.hostNames().stream()
+        .anyMatch(
+            other ->
+                !other.equals(name)
+                    && !cell.isDead(other)
+                    && cell.shard(other).isReadyCoordinator());
+  }
+
   @Test
   void submissionsOfEndedJobsAreRemovedAndSuccessorKnowsTheirFinalStates() {
     final String initialCoordinator = awaitCoordinator();
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.hickorymoor.daemon.peer.PeerException;
 import org.hickorymoor.daemon.peer.PeerReply;
 import org.hickorymoor.daemon.peer.PeerRequest;
 import org.hickorymoor.daemon.port.ApprovalPort;
@@ -57,7 +58,7 @@
         new Shard(
             settings,
             store.port(name),
-            workers.port(),
+            workers.port(name),
             advice,
             FakeWorkers::decode,
             (address, request, timeoutMs) -> call(address, request, timeoutMs),
@@ -76,7 +77,13 @@
         LINK_LATENCY_MS,
         () -> {
           Host host = hosts.get(address);
-          if (host != null && !host.loop.isDead()) {
+          if (host == null || host.loop.isDead()) {
+            time.after(
+                LINK_LATENCY_MS,
+                () ->
+                    future.completeExceptionally(
+                        new PeerException(PeerException.Type.UNREACHABLE, address + " refuses")));
+          } else {
             host.shard
                 .handle(request)
                 .thenAccept(reply -> time.after(LINK_LATENCY_MS, () -> future.complete(reply)));
@@ -93,6 +100,10 @@
     host(name).loop.freeze(forMs);
   }
 
+  void suspend(String name, long forMs) {
+    host(name).loop.suspend(forMs);
+  }
+
   void slow(String name, long delayMs) {
     host(name).loop.slow(delayMs);
   }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/VirtualTime.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/VirtualTime.java
@@ -68,6 +68,7 @@
     private boolean dead;
     private long frozenUntilNs;
     private long lagMs;
+    private long suspendedNs;
 
     /** Delays every task by this time. */
     void slow(long delayMs) {
@@ -84,6 +85,12 @@
       frozenUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(forMs);
     }
 
+    /** Suspends the host: like {@link #freeze}, and the steady clock stands still meanwhile. */
+    void suspend(long forMs) {
+      freeze(forMs);
+      suspendedNs += TimeUnit.MILLISECONDS.toNanos(forMs);
+    }
+
     boolean isDead() {
       return dead;
     }
@@ -111,7 +118,7 @@
 
     @Override
     public long nowNs() {
-      return nowNs;
+      return nowNs - suspendedNs;
     }
 
     @Override
