Keep the runs of a draining worker that is only silent to the store

Cause: when the entry of a draining worker was removed, its runs counted as lost at once and were started elsewhere. An entry is also removed after three heartbeats that did not arrive, and the worker runs on: two runs of a task at the same time.

Change: the removal only ends placements. The worker counts as gone when its address refuses connections; one that does not answer keeps its runs until their lease has expired, one that answers keeps them.

ShardTest.drainingWorkerWhoseEntryLapsesKeepsItsRuns failed before (9 starts for 8 tasks); runsOfWorkerThatHasLeftStartElsewhereBeforeTheirLeaseExpires holds that a worker that has really left costs no lease.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -199,10 +199,9 @@
   /** Applies the latest list entry of the worker; null if it is no longer listed. */
   void update(@Nullable WorkerDescriptor newer) {
     if (newer == null) {
+      // The worker has left, or only fails to reach the store; the next call to it shows which.
       listed = false;
-      if (descriptor.draining()) {
-        markAllLost("the worker has left");
-      }
+      requestReport();
       return;
     }
     listed = true;
@@ -446,6 +445,9 @@
           placements.size(),
           failure == null ? "unavailable" : failure.getMessage());
     }
+    if (hasLeft(failure)) {
+      markAllLost("the worker has left");
+    }
     if (reportInFlight) {
       return;
     }
@@ -467,6 +469,17 @@
         });
   }
 
+  /**
+   * Returns whether a failed call shows that the worker's process has ended: it said that it would,
+   * its entry was removed, and nothing listens at its address.
+   */
+  private boolean hasLeft(@Nullable PlatformException failure) {
+    return !listed
+        && descriptor.draining()
+        && failure != null
+        && failure.type() == PlatformException.Type.UNREACHABLE;
+  }
+
   private void markAllLost(String reason) {
     for (Placement placement : List.copyOf(placements.values())) {
       remove(placement);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -61,6 +61,7 @@
     private long lastNumber;
     private long lapsedUpTo;
     private boolean up = true;
+    private boolean left;
     private boolean disconnected;
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
@@ -89,6 +90,12 @@
       incarnation++;
     }
 
+    /** Ends the process: its runs end and its address refuses connections. */
+    void leave() {
+      crash();
+      left = true;
+    }
+
     /** Blocks all calls in both directions. */
     void setDisconnected(boolean on) {
       disconnected = on;
@@ -322,6 +329,11 @@
       time.after(
           LINK_LATENCY_MS,
           () -> {
+            if (worker.left) {
+              future.completeExceptionally(
+                  new PlatformException(Type.UNREACHABLE, worker.id + " refuses connections"));
+              return;
+            }
             if (worker.disconnected || !worker.up || worker.blockedHosts.contains(host)) {
               return;
             }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -156,6 +156,40 @@
     cell.workers.running().forEach(task -> assertThat(cell.workers.workerOf(task)).isEqualTo("w3"));
   }
 
+  @Test
+  void drainingWorkerWhoseEntryLapsesKeepsItsRuns() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    awaitCoordinator();
+    cell.submit("h0", "job", step(8, List.of(), true));
+    cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
+    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+
+    cell.workers.drain(worker);
+    cell.time.advance(1_500);
+    cell.workers.list(worker, false);
+    cell.time.advance(10_000);
+
+    assertThat(cell.workers.violations()).isEmpty();
+    assertThat(cell.workers.starts()).isEqualTo(8);
+    assertThat(cell.workers.workerOf("job.0.0.0")).isEqualTo(worker);
+  }
+
+  @Test
+  void runsOfWorkerThatHasLeftStartElsewhereBeforeTheirLeaseExpires() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    awaitCoordinator();
+    cell.submit("h0", "job", step(8, List.of(), true));
+    cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
+    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+
+    cell.workers.drain(worker);
+    cell.time.advance(1_500);
+    cell.workers.get(worker).leave();
+    cell.workers.list(worker, false);
+
+    assertThat(cell.time.advanceUntil(1_500, () -> cell.workers.running().size() == 8)).isTrue();
+  }
+
   @Test
   void restartedWorkerLosesOnlyItsOwnRuns() {
     cell.workers.durations(() -> Long.MAX_VALUE);
