Serve a cell of many hosts while the store is slow

A host then refused everything until a probe succeeded; the probes of all hosts were appends to one partition with a time-out of 400 ms.

Ruled out: the rate limit of the store (no 429); the coordinator, which placed what was stored.

Change: twelve partitions, as many as the topic has left; while the store is slow, the first host of a partition appends for the others that share it; an append is repeated only if a read shows that the store is healthy, so that the answer was lost; probes are reads, and requests wait for the probe instead of being refused when the store is only slow. A slow store is also no reason to ask for a takeover.

During a rolling update a coordinator of the former version learns of jobs in the new partitions by announcements only, until the next coordinator reads them.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/KeyedStream.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/KeyedStream.java
@@ -21,6 +21,14 @@
   SUBMISSIONS_6,
   /** Eighth partition of the submissions. */
   SUBMISSIONS_7,
+  /** Ninth partition of the submissions. */
+  SUBMISSIONS_8,
+  /** Tenth partition of the submissions. */
+  SUBMISSIONS_9,
+  /** Eleventh partition of the submissions. */
+  SUBMISSIONS_10,
+  /** Twelfth partition of the submissions. */
+  SUBMISSIONS_11,
   /** Progress of the jobs, written only by the coordinator. */
   LEDGER,
   /** Identity of the coordinator, renewed by its heartbeats. */
@@ -33,7 +41,7 @@
   WORKERS;
 
   private static final List<KeyedStream> SUBMISSION_PARTITIONS =
-      List.copyOf(EnumSet.range(SUBMISSIONS_0, SUBMISSIONS_7));
+      List.copyOf(EnumSet.range(SUBMISSIONS_0, SUBMISSIONS_11));
 
   /**
    * Returns the partitions of the submissions. The store appends to each one independently, so
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
@@ -56,6 +56,9 @@
    */
   private static final long UNREACHABLE_TIMEOUT_MS = 550;
 
+  /** A healthy store answers a read within this time, also from a far region. */
+  private static final long MAX_HEALTHY_READ_MS = 200;
+
   private final ShardEventLoop loop;
   private final KeyedLogPort log;
   private final ShardSettings settings;
@@ -202,14 +205,17 @@
         });
   }
 
-  /** Claims if the store answers and shows no record at or after the expected end. */
+  /**
+   * Claims if the store answers quickly and shows no record at or after the expected end.
+   * Heartbeats that are late in a slow store are no reason to replace the coordinator.
+   */
   private void claimIfSilent(long epoch, long expectedEnd, String reason) {
     CoordinatorRecord latest = current;
     if (!mayClaim() || storeUnavailable || latest == null || latest.epoch() != epoch) {
       return;
     }
     loop.then(
-        log.readNewest(KeyedStream.OWNERSHIP, null, ShardSettings.STORE_TIMEOUT_MS),
+        log.readNewest(KeyedStream.OWNERSHIP, null, MAX_HEALTHY_READ_MS),
         (page, failure) -> {
           CoordinatorRecord newest = current;
           if (page != null
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HedgedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HedgedAppend.java
@@ -27,15 +27,20 @@
   private final ShardEventLoop loop;
   private final LatencyEstimator latencies;
   private final Supplier<CompletableFuture<Long>> call;
+  private final Supplier<CompletableFuture<Boolean>> mayHedge;
   private final CompletableFuture<Long> result = new CompletableFuture<>();
   private int callsInFlight;
   private @Nullable PlatformException ambiguousFailure;
 
   private HedgedAppend(
-      ShardEventLoop loop, LatencyEstimator latencies, Supplier<CompletableFuture<Long>> call) {
+      ShardEventLoop loop,
+      LatencyEstimator latencies,
+      Supplier<CompletableFuture<Long>> call,
+      Supplier<CompletableFuture<Boolean>> mayHedge) {
     this.loop = loop;
     this.latencies = latencies;
     this.call = call;
+    this.mayHedge = mayHedge;
   }
 
   /**
@@ -49,7 +54,20 @@
    */
   static CompletableFuture<Long> send(
       ShardEventLoop loop, LatencyEstimator latencies, Supplier<CompletableFuture<Long>> call) {
-    HedgedAppend append = new HedgedAppend(loop, latencies, call);
+    return send(loop, latencies, call, () -> CompletableFuture.completedFuture(true));
+  }
+
+  /**
+   * Sends an append, and a second time if its answer is late and a check allows it.
+   *
+   * @param mayHedge checks when the answer is late whether a second call is useful; never fails
+   */
+  static CompletableFuture<Long> send(
+      ShardEventLoop loop,
+      LatencyEstimator latencies,
+      Supplier<CompletableFuture<Long>> call,
+      Supplier<CompletableFuture<Boolean>> mayHedge) {
+    HedgedAppend append = new HedgedAppend(loop, latencies, call, mayHedge);
     append.sendCall(true);
     long hedgeDelayMs = Math.max(MIN_HEDGE_DELAY_MS, HEDGE_LATENCY_FACTOR * latencies.smoothedMs());
     loop.schedule(hedgeDelayMs, append::hedge);
@@ -57,7 +75,13 @@
   }
 
   private void hedge() {
-    if (callsInFlight > 0 && !result.isDone() && latencies.tryStartHedge()) {
+    if (callsInFlight > 0 && !result.isDone()) {
+      var unused = mayHedge.get().thenAccept(this::hedgeIf);
+    }
+  }
+
+  private void hedgeIf(boolean allowed) {
+    if (allowed && callsInFlight > 0 && !result.isDone() && latencies.tryStartHedge()) {
       sendCall(false);
     }
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostRegistry.java
@@ -22,7 +22,7 @@
   private final KeyedLogPort log;
   private final ShardSettings settings;
   private volatile List<String> addresses;
-  private int rank;
+  private volatile List<String> ranked;
   private boolean stopped;
 
   HostRegistry(ShardEventLoop loop, KeyedLogPort log, ShardSettings settings) {
@@ -30,10 +30,10 @@
     this.log = log;
     this.settings = settings;
     this.addresses = List.of(settings.peerAddress());
+    this.ranked = addresses;
   }
 
-  /** Returns the registration record of this host; writing it again changes nothing. */
-  Entry record() {
+  private Entry record() {
     return new Entry(settings.hostId(), settings.peerAddress().getBytes(UTF_8));
   }
 
@@ -56,7 +56,12 @@
    * Returns the rank of this host among all hosts by address; it changes as hosts join and leave.
    */
   int rank() {
-    return rank;
+    return Math.max(0, ranked.indexOf(settings.peerAddress()));
+  }
+
+  /** Returns the peer address of the host of a rank. */
+  String addressOfRank(int rank) {
+    return ranked.get(rank);
   }
 
   private void register() {
@@ -93,8 +98,7 @@
         (page, failure) -> {
           if (page != null) {
             addresses = page.records().stream().map(HostRegistry::address).distinct().toList();
-            rank =
-                Math.max(0, addresses.stream().sorted().toList().indexOf(settings.peerAddress()));
+            ranked = addresses.stream().sorted().toList();
           }
           loop.schedule(REFRESH_MS, this::refresh);
         });
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
@@ -19,17 +19,17 @@
  *
  * <p>A record that is definitely not stored is given up once neither this host nor its peers reach
  * the store. One that may be stored is retried until the deadline, since only an answer resolves
- * the doubt.
+ * the doubt. While the store is slow, the first host of each partition appends for the others.
  */
 final class RelayedAppend {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * A store that is 60 times slower than usual answers within this time; after it, an answer counts
-   * as lost.
+   * A store that is 100 times slower than usual processes several appends to a partition within
+   * this time; after it, an answer counts as lost.
    */
-  static final long TIMEOUT_MS = 1_000;
+  static final long TIMEOUT_MS = 1_600;
 
   /** Peers tried for an append before a request is refused. */
   private static final int MAX_RELAY_PEERS = 2;
@@ -41,6 +41,7 @@
   private final SubmissionWriter submissions;
   private final PeerPort peers;
   private final Supplier<List<String>> nextPeer;
+  private final @Nullable String partitionWriter;
   private final String key;
   private final byte[] value;
   private long deadlineNs;
@@ -51,18 +52,22 @@
    * Creates an append.
    *
    * @param nextPeer supplies the address of another host, or nothing if there is none
+   * @param partitionWriter address of the host that appends to this host's partition while the
+   *     store is slow; null if that is this host
    */
   RelayedAppend(
       ShardEventLoop loop,
       SubmissionWriter submissions,
       PeerPort peers,
       Supplier<List<String>> nextPeer,
+      @Nullable String partitionWriter,
       String key,
       byte[] value) {
     this.loop = loop;
     this.submissions = submissions;
     this.peers = peers;
     this.nextPeer = nextPeer;
+    this.partitionWriter = partitionWriter;
     this.key = key;
     this.value = value;
   }
@@ -70,7 +75,14 @@
   /** Starts the append; the future never fails. */
   CompletableFuture<StoreResult> start(long withinMs) {
     deadlineNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs);
-    tryStore();
+    loop.execute(
+        () -> {
+          if (partitionWriter != null && submissions.isStoreSlow()) {
+            relay(partitionWriter, this::tryStore);
+          } else {
+            tryStore();
+          }
+        });
     return result;
   }
 
@@ -99,23 +111,30 @@
 
   private void tryPeer() {
     peersTried++;
-    for (String peer : nextPeer.get()) {
-      var unused =
-          peers
-              .call(peer, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs())
-              .whenComplete((reply, failure) -> loop.execute(() -> onRelayed(reply, failure)));
-      return;
+    List<String> peer = nextPeer.get();
+    if (peer.isEmpty()) {
+      retryLater();
+    } else {
+      relay(peer.get(0), this::retryLater);
     }
-    retryLater();
   }
 
-  private void onRelayed(@Nullable PeerReply reply, @Nullable Throwable failure) {
+  private void relay(String peer, Runnable onFailed) {
+    var unused =
+        peers
+            .call(peer, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs())
+            .whenComplete(
+                (reply, failure) -> loop.execute(() -> onRelayed(reply, failure, onFailed)));
+  }
+
+  private void onRelayed(
+      @Nullable PeerReply reply, @Nullable Throwable failure, Runnable onFailed) {
     if (reply instanceof PeerReply.Done) {
       result.complete(StoreResult.YES);
       return;
     }
     uncertain |= !isDefiniteRefusal(reply) && !PeerException.isUnreachable(failure);
-    retryLater();
+    onFailed.run();
   }
 
   private static boolean isDefiniteRefusal(@Nullable PeerReply reply) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -120,7 +120,7 @@
     this.peers = peers;
 
     this.hosts = new HostRegistry(loop, log, settings);
-    this.submissions = new SubmissionWriter(loop, log, this::submissionPartition, hosts.record());
+    this.submissions = new SubmissionWriter(loop, log, this::submissionPartition);
     this.election = new CoordinatorElection(loop, log, settings, new ElectionListener());
     this.lagMonitor =
         new EventLoopLagMonitor(
@@ -136,6 +136,16 @@
     return partitions.get(hosts.rank() % partitions.size());
   }
 
+  /**
+   * Returns the first host that shares this host's submission partition, or null if that is this
+   * host.
+   */
+  private @Nullable String partitionWriter() {
+    int rank = hosts.rank();
+    int partitions = KeyedStream.submissionPartitions().size();
+    return rank < partitions ? null : hosts.addressOfRank(rank % partitions);
+  }
+
   /** Registers this host and takes part in the election of the coordinator. */
   public void start() {
     hosts.start();
@@ -219,7 +229,8 @@
   private CompletableFuture<StoreResult> store(String key, byte[] value, long withinMs) {
     final long beganNs = loop.nowNs();
     RelayedAppend append =
-        new RelayedAppend(loop, submissions, peers, () -> randomPeers(1), key, value);
+        new RelayedAppend(
+            loop, submissions, peers, () -> randomPeers(1), partitionWriter(), key, value);
     return append
         .start(withinMs)
         .whenComplete(
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
@@ -15,9 +17,10 @@
  * Appends submissions and cancellations; those that arrive while an append is in flight share the
  * next one.
  *
- * <p>Records are keyed by job, so sending an append twice stores nothing twice. After a failed
- * append nothing more is sent until the store answers a probe; requests that were never sent can be
- * refused immediately, as they are certainly not stored. Thread-safe.
+ * <p>Records are keyed by job, so sending an append twice stores nothing twice. When an append
+ * fails or is not answered for a while, the store is probed, as it may only be slow. While it does
+ * not answer, requests that were never sent are refused immediately, as they are certainly not
+ * stored. Thread-safe.
  */
 final class SubmissionWriter {
 
@@ -29,8 +32,14 @@
   /** Interval of the probes while the store does not answer. */
   private static final long PROBE_INTERVAL_MS = 150;
 
-  /** Timeout of a probe, after which the next one follows. */
-  private static final long PROBE_TIMEOUT_MS = 400;
+  /** A healthy store answers a read within this time, also from a far region. */
+  private static final long MAX_HEALTHY_READ_MS = 100;
+
+  /** Timeout of a probe; a store that is 100 times slower than usual answers within it. */
+  private static final long PROBE_TIMEOUT_MS = 600;
+
+  /** Latency of appends from which the store counts as slow; it usually takes 4 to 70 ms. */
+  private static final long SLOW_LATENCY_MS = 150;
 
   private record Pending(Entry entry, CompletableFuture<Void> stored) {}
 
@@ -38,26 +47,33 @@
   private final KeyedLogPort log;
   private final LatencyEstimator appendLatencies = new LatencyEstimator();
   private final Supplier<KeyedStream> currentPartition;
-  private final Entry probe;
   private List<Pending> queue = new ArrayList<>();
 
   /** Whether an append is in flight; records that arrive meanwhile wait for the next one. */
   private boolean appending;
 
+  /** Whether the store is being probed; records that arrive meanwhile wait. */
+  private boolean probing;
+
   private boolean storeUnavailable;
 
   /**
    * Creates a writer.
    *
    * @param currentPartition supplies the partition to append to
-   * @param probe a record of {@link KeyedStream#HOSTS} that may be written again at any time
    */
-  SubmissionWriter(
-      ShardEventLoop loop, KeyedLogPort log, Supplier<KeyedStream> currentPartition, Entry probe) {
+  SubmissionWriter(ShardEventLoop loop, KeyedLogPort log, Supplier<KeyedStream> currentPartition) {
     this.loop = loop;
     this.log = log;
     this.currentPartition = currentPartition;
-    this.probe = probe;
+  }
+
+  /**
+   * Returns whether appends take so long that those of several hosts to one partition, which the
+   * store processes one at a time, should go together. Called on the event loop thread.
+   */
+  boolean isStoreSlow() {
+    return probing || appendLatencies.smoothedMs() >= SLOW_LATENCY_MS;
   }
 
   /**
@@ -83,7 +99,7 @@
   }
 
   private void flush(long timeoutMs) {
-    if (queue.isEmpty() || appending) {
+    if (queue.isEmpty() || appending || probing) {
       return;
     }
     List<Pending> batch = new ArrayList<>();
@@ -101,7 +117,8 @@
         HedgedAppend.send(
             loop,
             appendLatencies,
-            () -> log.append(partition, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs)),
+            () -> log.append(partition, entries, null, KeyedLogPort.ANY_OFFSET, timeoutMs),
+            this::isStoreHealthy),
         (offset, failure) -> {
           appending = false;
           onAppendCompleted(failure);
@@ -120,11 +137,24 @@
     if (failure == null || storeUnavailable) {
       return;
     }
+    logger.atInfo().log("submissions: Append failed: %s", failure.getMessage());
+    if (!failure.mayHaveTakenEffect()) {
+      refuseQueued();
+    }
+    startProbing();
+  }
+
+  private void startProbing() {
+    if (!probing) {
+      probing = true;
+      probe();
+    }
+  }
+
+  private void refuseQueued() {
     storeUnavailable = true;
-    logger.atInfo().log("submissions: Store does not answer: %s", failure.getMessage());
     queue.forEach(pending -> pending.stored().completeExceptionally(notSent()));
     queue = new ArrayList<>();
-    loop.schedule(PROBE_INTERVAL_MS, this::probe);
   }
 
   private static PlatformException notSent() {
@@ -132,17 +162,51 @@
         PlatformException.Type.REFUSED, "not sent because the store does not answer");
   }
 
+  /**
+   * Checks by a read whether the answer to an append was lost: a healthy store answers the read
+   * quickly. A slow one would only get more to do from a second append.
+   */
+  private CompletableFuture<Boolean> isStoreHealthy() {
+    CompletableFuture<Boolean> healthy = new CompletableFuture<>();
+    final long sentNs = loop.nowNs();
+    readProbe(
+        failure -> {
+          long elapsedMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - sentNs);
+          healthy.complete(failure == null && elapsedMs <= MAX_HEALTHY_READ_MS);
+          if (failure != null && !probing) {
+            probing = true;
+            onProbeFailed(failure);
+          }
+        });
+    return healthy;
+  }
+
   private void probe() {
-    loop.then(
-        log.append(
-            KeyedStream.HOSTS, List.of(probe), null, KeyedLogPort.ANY_OFFSET, PROBE_TIMEOUT_MS),
-        (offset, failure) -> {
+    readProbe(
+        failure -> {
           if (failure != null) {
-            loop.schedule(PROBE_INTERVAL_MS, this::probe);
+            onProbeFailed(failure);
             return;
           }
+          probing = false;
           storeUnavailable = false;
-          logger.atInfo().log("submissions: Store answers again.");
+          logger.atInfo().log("submissions: Store answers, resuming appends.");
+          flush(RelayedAppend.TIMEOUT_MS);
         });
   }
+
+  private void onProbeFailed(PlatformException failure) {
+    if (!storeUnavailable) {
+      logger.atInfo().log("submissions: Store does not answer: %s", failure.getMessage());
+      refuseQueued();
+    }
+    loop.schedule(PROBE_INTERVAL_MS, this::probe);
+  }
+
+  /** Probes by a read: appends to one partition would wait for those of all other hosts. */
+  private void readProbe(Consumer<@Nullable PlatformException> handler) {
+    loop.then(
+        log.readNewest(KeyedStream.OWNERSHIP, null, PROBE_TIMEOUT_MS),
+        (page, failure) -> handler.accept(failure));
+  }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SlowStoreLoadTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SlowStoreLoadTest.java
@@ -42,4 +42,25 @@
         .containsExactly(Shard.StoreResult.YES);
     assertThat(cell.workers.starts()).isEqualTo(JOBS_PER_SECOND * SECONDS);
   }
+
+  /** Many hosts share few partitions, to each of which the store appends one record at a time. */
+  @Test
+  void fewJobsAreRefusedThoughManyHostsSharePartitions() {
+    int hosts = 47;
+    SimulatedCell cell = new SimulatedCell(7, hosts, 60);
+    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
+    cell.time.advance(5_000);
+    cell.store.answerMs(390);
+    cell.store.serialAppendMs(290);
+
+    List<CompletableFuture<Shard.StoreResult>> answers = new ArrayList<>();
+    for (int i = 0; i < JOBS_PER_SECOND * SECONDS; i++) {
+      answers.add(cell.submit("h" + i % hosts, "job" + i, step(1, List.of(), false)));
+      cell.time.advance(1_000 / JOBS_PER_SECOND);
+    }
+    cell.time.advanceUntil(3_000, () -> answers.stream().allMatch(CompletableFuture::isDone));
+
+    long stored = answers.stream().filter(answer -> answer.join() == Shard.StoreResult.YES).count();
+    assertThat(stored).isAtLeast(answers.size() * 95 / 100);
+  }
 }
