--- a/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
@@ -152,7 +152,15 @@
       long timeoutMs) {
     final CompletableFuture<Response> future = new CompletableFuture<>();
     String url = "http://" + address + pathAndQuery;
-    Request request = client.newRequest(url).method(method);
+    Request request;
+    try {
+      request = client.newRequest(url).method(method);
+    } catch (IllegalArgumentException e) {
+      // Addresses come from records of others.
+      future.completeExceptionally(
+          new PlatformException(Type.UNREACHABLE, "expected ip:port, got " + address + ": " + e));
+      return future;
+    }
     headers.forEach((name, value) -> request.headers(fields -> fields.put(name, value)));
     if (body != null) {
       request.body(new BytesRequestContent("application/json", body));
