Settle unanswered starts early, and let strong hosts coordinate

Change: a start counts as unanswered after 350 ms; a report beside the long poll, answered at once, then shows the run, or a stop makes a late start harmless and the task goes elsewhere. The worker stays in use unless it does not answer the report either. Hosts below one core delay their claims by up to 250 ms. A host schedules one claim at a time; before, each refused connection added one.

ShardTest.startThatIsCarriedOutLateIsReplacedWithinTheTargetLatency and strongHostTakesOverBeforeWeakOnes hold the two; the first failed before the change (no start within 600 ms).

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
@@ -50,6 +50,12 @@
    */
   private static final int CLAIM_JITTER_MS = 150;
 
+  /**
+   * Delay of a claim by a host without any processor capacity; proportionally less up to one core,
+   * which a coordinator of some hundred workers needs in a burst.
+   */
+  private static final long WEAK_HOST_DELAY_MS = 250;
+
   /**
    * Age of the last heartbeat at which a coordinator that refuses connections is replaced; longer
    * than the interval of heartbeats and an answer of the store.
@@ -71,6 +77,7 @@
   /** Number of the current series of reads; answers to earlier series are ignored. */
   private long readSeries;
 
+  private boolean claimScheduled;
   private boolean claimInFlight;
   private boolean unreachableCheckScheduled;
   private boolean candidate = true;
@@ -211,7 +218,11 @@
    */
   private void claimIfSilent(long epoch, long expectedEnd, String reason) {
     CoordinatorRecord latest = current;
-    if (!mayClaim() || storeUnavailable || latest == null || latest.epoch() != epoch) {
+    if (!mayClaim()
+        || claimScheduled
+        || storeUnavailable
+        || latest == null
+        || latest.epoch() != epoch) {
       return;
     }
     loop.then(
@@ -341,10 +352,18 @@
 
   /** Claims after a random delay, unless a newer record is read in the meantime. */
   private void scheduleClaim() {
+    if (claimScheduled) {
+      return;
+    }
+    claimScheduled = true;
     final long expectedEnd = nextOffset;
+    double missingProcessors = Math.max(0, 1 - settings.processors());
+    long delayMs =
+        Math.round(WEAK_HOST_DELAY_MS * missingProcessors) + loop.random().nextInt(CLAIM_JITTER_MS);
     loop.schedule(
-        loop.random().nextInt(CLAIM_JITTER_MS),
+        delayMs,
         () -> {
+          claimScheduled = false;
           if (nextOffset == expectedEnd) {
             claim(expectedEnd);
           }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -116,6 +116,12 @@
   /** Covers two slow network links and a busy worker. */
   private static final long REQUEST_TIMEOUT_MS = 700;
 
+  /**
+   * Timeout of a start request, and of the report that then shows whether the run is there. Covers
+   * a new connection and a request to a far region.
+   */
+  private static final long START_TIMEOUT_MS = 350;
+
   /**
    * Wait after a failed call, multiplied by the consecutive failures up to {@link
    * #MAX_RETRY_FACTOR}.
@@ -281,7 +287,7 @@
     StartRequest request =
         new StartRequest(task.id().toString(), placement.run, payload, task.checkpoint(), ticket);
     loop.then(
-        port.start(descriptor, request, untilMs, fencingToken, REQUEST_TIMEOUT_MS),
+        port.start(descriptor, request, untilMs, fencingToken, START_TIMEOUT_MS),
         (reply, failure) -> onStartAnswered(placement, reply, failure));
     requestReport();
   }
@@ -300,7 +306,7 @@
       }
       placement.unanswered = true;
       placement.unansweredSinceNs = loop.nowNs();
-      onCallFailed(failure);
+      requestReportNow();
       return;
     }
     switch (reply.outcome()) {
@@ -356,7 +362,7 @@
             placement.stopAcknowledged = true;
             markAcknowledged(placement);
           }
-          requestReport();
+          requestReportNow();
         });
   }
 
@@ -383,6 +389,20 @@
     sendReportRequest(synced && acknowledgedEndNumber == lastEndNumber ? REPORT_LONG_POLL_MS : 0);
   }
 
+  /**
+   * Requests a report that is answered at once, also beside one that waits for an end, to learn
+   * whether a run is there.
+   */
+  private void requestReportNow() {
+    if (!reportInFlight) {
+      requestReport();
+    }
+    long sentNs = loop.nowNs();
+    loop.then(
+        port.renewLease(descriptor, 0, 0, fencingToken, 0, START_TIMEOUT_MS),
+        (report, failure) -> onReportAnswered(report, failure, sentNs));
+  }
+
   private void sendReportRequest(long waitMs) {
     reportInFlight = true;
     // Retries don't renew the lease: any of them might arrive, and each would move the end of the
@@ -402,19 +422,24 @@
             waitMs + REQUEST_TIMEOUT_MS),
         (report, failure) -> {
           reportInFlight = false;
-          if (closed) {
-            return;
-          }
-          if (report == null || report.outcome() == Outcome.UNAVAILABLE) {
-            onCallFailed(failure);
-          } else if (report.outcome() == Outcome.FENCED) {
-            listener.onFenced(descriptor.id());
-          } else {
-            onReport(report, sentNs);
-          }
+          onReportAnswered(report, failure, sentNs);
         });
   }
 
+  private void onReportAnswered(
+      @Nullable Report report, @Nullable PlatformException failure, long sentNs) {
+    if (closed) {
+      return;
+    }
+    if (report == null || report.outcome() == Outcome.UNAVAILABLE) {
+      onCallFailed(failure);
+    } else if (report.outcome() == Outcome.FENCED) {
+      listener.onFenced(descriptor.id());
+    } else {
+      onReport(report, sentNs);
+    }
+  }
+
   private long newLeaseEndMs() {
     long nowNs = loop.nowNs();
     long coordinatorLeaseMs =
@@ -585,11 +610,11 @@
       if (present.contains(placement.task.id().toString())) {
         continue;
       }
-      if (placement.acknowledged && placement.acknowledgedNs - sentNs < 0) {
+      if (placement.acknowledged && placement.acknowledgedNs - sentNs <= 0) {
         remove(placement);
         listener.onRunLost(placement, "missing from the worker's report");
       } else if (placement.unanswered
-          && placement.unansweredSinceNs - sentNs < 0
+          && placement.unansweredSinceNs - sentNs <= 0
           && !placement.stopAcknowledged
           && hasElapsed(placement.stopSentNs, STOP_RETRY_MS)) {
         // Only a stop guarantees that the unanswered start request takes no effect later.
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -349,6 +349,39 @@
     assertThat(cell.time.advanceUntil(600, () -> hasOtherCoordinator(former))).isTrue();
   }
 
+  @Test
+  void strongHostTakesOverBeforeWeakOnes() {
+    final String former = awaitCoordinator();
+    cell.hostNames().stream().filter(name -> !name.equals(former)).forEach(cell::kill);
+    for (int i = 0; i < 10; i++) {
+      cell.startHost("weak" + i, 0.36);
+    }
+    cell.startHost("strong", 1.5);
+    cell.time.advance(3_000);
+
+    cell.kill(former);
+    cell.time.advance(2_000);
+
+    assertThat(cell.coordinator()).isEqualTo("strong");
+  }
+
+  @Test
+  void startThatIsCarriedOutLateIsReplacedWithinTheTargetLatency() {
+    awaitCoordinator();
+    cell.time.advance(3_000);
+    cell.workers.all().forEach(worker -> worker.delayStartsAndStops(1));
+    cell.submit("h0", "job", step(1, List.of(), false));
+    cell.time.advance(100);
+    cell.workers.all().forEach(worker -> worker.delayStartsAndStops(0));
+
+    long targetLatencyMs = SimulatedCell.POLICY.targetLatencyMs();
+    assertThat(
+            cell.time.advanceUntil(targetLatencyMs - 100, () -> !cell.workers.running().isEmpty()))
+        .isTrue();
+    cell.time.advance(15_000);
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
   private boolean hasOtherCoordinator(String name) {
     return cell.hostNames().stream()
         .anyMatch(
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -51,8 +51,13 @@
 
   /** Starts a host without any local state. */
   void startHost(String name) {
+    startHost(name, 1);
+  }
+
+  /** Starts a host of some processor capacity, in cores. */
+  void startHost(String name, double processors) {
     VirtualTime.HostEventLoop loop = time.new HostEventLoop();
-    ShardSettings settings = new ShardSettings(name, "d", name, 6_000);
+    ShardSettings settings = new ShardSettings(name, "d", name, 6_000, processors);
     ApprovalPort advice = (step, ids, withinMs) -> new CompletableFuture<>();
     Shard shard =
         new Shard(
