Bound the share of the event loop that placement takes

A pass walked all 258 workers for each idle task and built the name of the step anew for each.

Change: after a pass the next one waits for twice its duration. The workers in use are collected once a pass; for a step that needs approvals only workers with a valid ticket are looked at; the search for workers to ask about checks free room first. Which worker is chosen does not change, but for ties.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalCache.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalCache.java
@@ -68,6 +68,20 @@
     return ticket == null || loop.nowNs() - ticket.endsNs() >= 0 ? null : ticket.value();
   }
 
+  /** Returns the workers that may run a step according to a valid ticket. */
+  List<String> approvedWorkers(String step) {
+    StepApprovals approvals = steps.get(step);
+    if (approvals == null) {
+      return List.of();
+    }
+    long nowNs = loop.nowNs();
+    return approvals.tickets.entrySet().stream()
+        .filter(entry -> nowNs - entry.getValue().endsNs() < 0)
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
+  }
+
   /** Marks a ticket that a worker rejected as expired, so that another one is requested. */
   void expire(String step, String workerId) {
     StepApprovals approvals = steps.get(step);
@@ -122,11 +136,13 @@
             .orElse(step.tasks().get(0));
     List<WorkerSession> candidates = new ArrayList<>();
     for (WorkerSession session : schedulable) {
+      if (!session.allocation().fits(sample, 0)) {
+        continue;
+      }
       String id = session.allocation().descriptor().id();
       CachedTicket ticket = approvals.tickets.get(id);
       boolean expired = ticket != null && loop.nowNs() - ticket.endsNs() >= 0;
-      if ((expired || !approvals.requestedWorkers.contains(id))
-          && session.allocation().fits(sample, 0)) {
+      if (expired || !approvals.requestedWorkers.contains(id)) {
         candidates.add(session);
       }
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -125,6 +125,7 @@
   private boolean ready;
   private boolean closed;
   private boolean placementScheduled;
+  private final PassPacer placementPacer;
 
   JobScheduler(
       ShardEventLoop loop,
@@ -140,6 +141,7 @@
     this.loop = loop;
     this.metrics = metrics;
     this.electedNs = loop.nowNs();
+    this.placementPacer = new PassPacer(loop, PLACEMENT_DELAY_MS);
     this.log = log;
     this.workerPort = workerPort;
     this.settings = settings;
@@ -697,7 +699,7 @@
   private void schedulePlacement() {
     if (!placementScheduled && ready && !closed) {
       placementScheduled = true;
-      loop.schedule(PLACEMENT_DELAY_MS, this::placeReadySteps);
+      loop.schedule(placementPacer.delayMs(), this::placeReadySteps);
     }
   }
 
@@ -706,6 +708,7 @@
     if (closed) {
       return;
     }
+    placementPacer.passBegan();
     long nowNs = loop.nowNs();
     long nowMs = loop.nowMs();
     List<ReadyStep> candidates = new ArrayList<>();
@@ -724,7 +727,9 @@
       }
     }
     candidates.sort(Comparator.comparing(ReadyStep::urgency));
-    candidates.forEach(next -> placeStep(next.job(), next.step()));
+    Map<String, List<WorkerSession>> schedulable = new HashMap<>();
+    candidates.forEach(next -> placeStep(next.job(), next.step(), schedulable));
+    placementPacer.passEnded();
   }
 
   private void onApproved(String jobId) {
@@ -735,32 +740,54 @@
     }
   }
 
-  private void placeStep(Job job, StepProgress step) {
+  /**
+   * Places the idle tasks of a step as far as they fit.
+   *
+   * @param schedulableByService the workers in use of each service, filled on first use in a pass
+   */
+  private void placeStep(
+      Job job, StepProgress step, Map<String, List<WorkerSession>> schedulableByService) {
     QueuePolicy policy = job.progress.submission().policy();
-    List<WorkerSession> schedulable = new ArrayList<>();
-    for (WorkerSession session : sessions.values()) {
-      if (session.isSchedulable()
-          && session.allocation().descriptor().service().equals(policy.service())) {
-        schedulable.add(session);
-      }
-    }
+    List<WorkerSession> schedulable =
+        schedulableByService.computeIfAbsent(policy.service(), this::schedulableWorkers);
+    ApprovalPolicy approvalPolicy = policy.approval();
+    List<WorkerSession> eligible =
+        approvalPolicy == null ? schedulable : approvedWorkers(step.name());
     boolean allPlaced =
         step.spec().gang()
-            ? placeGang(job, step, schedulable)
-            : placeIndependentTasks(job, step, schedulable);
-    ApprovalPolicy advicePolicy = policy.approval();
-    if (!allPlaced && advicePolicy != null) {
-      approvals.request(job.progress.submission(), step, schedulable, advicePolicy);
+            ? placeGang(job, step, eligible)
+            : placeIndependentTasks(job, step, eligible);
+    if (!allPlaced && approvalPolicy != null) {
+      approvals.request(job.progress.submission(), step, schedulable, approvalPolicy);
     }
   }
 
-  private boolean placeIndependentTasks(
-      Job job, StepProgress step, List<WorkerSession> schedulable) {
+  private List<WorkerSession> schedulableWorkers(String service) {
+    return sessions.values().stream()
+        .filter(
+            session ->
+                session.isSchedulable()
+                    && session.allocation().descriptor().service().equals(service))
+        .toList();
+  }
+
+  private List<WorkerSession> approvedWorkers(String step) {
+    List<WorkerSession> approved = new ArrayList<>();
+    for (String worker : approvals.approvedWorkers(step)) {
+      WorkerSession session = sessions.get(worker);
+      if (session != null && session.isSchedulable()) {
+        approved.add(session);
+      }
+    }
+    return approved;
+  }
+
+  private boolean placeIndependentTasks(Job job, StepProgress step, List<WorkerSession> eligible) {
     for (TaskProgress task : step.tasks()) {
       if (task.phase() != TaskProgress.Phase.IDLE) {
         continue;
       }
-      WorkerSession best = chooseWorker(job, task, schedulable, null);
+      WorkerSession best = chooseWorker(job, task, eligible, null);
       if (best == null) {
         return false;
       }
@@ -769,15 +796,14 @@
     return true;
   }
 
-  private boolean placeGang(Job job, StepProgress step, List<WorkerSession> schedulable) {
+  private boolean placeGang(Job job, StepProgress step, List<WorkerSession> eligible) {
     int run = step.highestRun() + 1;
     // Reserves capacity for each member as it is chosen, so that two members don't count the same
     // capacity; released if a later member finds no worker.
     List<WorkerSession> chosen = new ArrayList<>();
     String rack = null;
     for (TaskProgress task : step.tasks()) {
-      WorkerSession best =
-          chooseWorker(job, task, schedulable, step.spec().sameRack() ? rack : null);
+      WorkerSession best = chooseWorker(job, task, eligible, step.spec().sameRack() ? rack : null);
       if (best == null) {
         for (int i = 0; i < chosen.size(); i++) {
           chosen.get(i).allocation().release(step.tasks().get(i).id(), run);
@@ -794,22 +820,17 @@
     return true;
   }
 
-  private @Nullable WorkerSession chooseWorker(
-      Job job, TaskProgress task, List<WorkerSession> schedulable, @Nullable String gangRack) {
-    boolean needsApproval = job.progress.submission().policy().approval() != null;
-    int priority = job.progress.submission().policy().priority();
+  private static @Nullable WorkerSession chooseWorker(
+      Job job, TaskProgress task, List<WorkerSession> eligible, @Nullable String gangRack) {
+    boolean urgent = job.progress.submission().policy().priority() == 0;
     WorkerSession best = null;
     double bestCost = Double.MAX_VALUE;
-    for (WorkerSession session : schedulable) {
+    for (WorkerSession session : eligible) {
       WorkerAllocation allocation = session.allocation();
       int keepFree =
-          priority == 0
+          urgent
               ? 0
               : (int) Math.round(allocation.descriptor().cpuMillis() * URGENT_HEADROOM_SHARE);
-      if (needsApproval
-          && approvals.ticket(task.id().stepName(), allocation.descriptor().id()) == null) {
-        continue;
-      }
       if (!allocation.fits(task, keepFree)) {
         continue;
       }
