Tell a worker that has left by its closed connection

The address of a worker that has left does not refuse connections there, it does not answer. Its open call ended with the end of the connection (EOFException on /api/hold).

Change: a connection closed instead of an answer is a failure of its own type. Together with draining and a removed entry it shows that the process has ended, as a refused connection does. Runs on draining workers get a lease of 4 s, for those that vanish without either.

ShardTest.workerThatClosedItsConnectionHasLeftThoughItsAddressDoesNotAnswer holds it; drainingWorkerWhoseEntryLapsesKeepsItsRuns still passes.

--- a/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.EOFException;
 import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -184,7 +185,12 @@
   }
 
   private static PlatformException failure(String url, @Nullable Throwable cause) {
-    Type type = cause instanceof ConnectException ? Type.UNREACHABLE : Type.NO_RESPONSE;
+    Type type = Type.NO_RESPONSE;
+    if (cause instanceof ConnectException) {
+      type = Type.UNREACHABLE;
+    } else if (cause instanceof EOFException) {
+      type = Type.CONNECTION_CLOSED;
+    }
     return new PlatformException(type, "no response from " + url + ": " + cause);
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
@@ -18,6 +18,11 @@
     /** No response arrived in time or the connection broke; the call may have taken effect. */
     NO_RESPONSE,
 
+    /**
+     * The other side closed the connection instead of answering; the call may have taken effect.
+     */
+    CONNECTION_CLOSED,
+
     /** The platform rejected the call; it had no effect. */
     REFUSED,
 
@@ -57,6 +62,6 @@
 
   /** Returns whether the call may have taken effect; false if it certainly had no effect. */
   public boolean mayHaveTakenEffect() {
-    return type == Type.NO_RESPONSE || type == Type.BAD_RESPONSE;
+    return type == Type.NO_RESPONSE || type == Type.CONNECTION_CLOSED || type == Type.BAD_RESPONSE;
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -133,6 +133,12 @@
   /** A healthy worker carries out a stop within 200 ms; after this time the stop is sent again. */
   private static final long STOP_RETRY_MS = 600;
 
+  /**
+   * Lease of runs on a draining worker; if it vanishes without closing its connections, its tasks
+   * wait this long for a start elsewhere.
+   */
+  private static final long DRAINING_WORKER_LEASE_MS = 4_000;
+
   /** Interval of lease renewals while the ends of runs can't be stored. */
   private static final long RENEW_INTERVAL_MS = 1_000;
 
@@ -171,6 +177,9 @@
    */
   private boolean incarnationConfirmed;
 
+  /** Whether calls since the last report show that the worker's process has ended. */
+  private boolean processEnded;
+
   private int consecutiveFailures;
   private long incarnationMs = -1;
   private long clockMs;
@@ -205,9 +214,13 @@
   /** Applies the latest list entry of the worker; null if it is no longer listed. */
   void update(@Nullable WorkerDescriptor newer) {
     if (newer == null) {
-      // The worker has left, or only fails to reach the store; the next call to it shows which.
       listed = false;
-      requestReport();
+      if (hasLeft()) {
+        markAllLost("the worker has left");
+      } else {
+        // The worker may only fail to reach the store; the next call to it shows whether it left.
+        requestReport();
+      }
       return;
     }
     listed = true;
@@ -444,7 +457,9 @@
     long nowNs = loop.nowNs();
     long coordinatorLeaseMs =
         TimeUnit.NANOSECONDS.toMillis(listener.coordinatorLeaseEndsNs() - nowNs);
-    long lengthMs = Math.min(leaseMs, coordinatorLeaseMs);
+    long workerLeaseMs =
+        descriptor.draining() ? Math.min(leaseMs, DRAINING_WORKER_LEASE_MS) : leaseMs;
+    long lengthMs = Math.min(workerLeaseMs, coordinatorLeaseMs);
     return lengthMs <= 0 || !synced
         ? 0
         : clockMs + TimeUnit.NANOSECONDS.toMillis(nowNs - clockAtNs) + lengthMs;
@@ -470,7 +485,11 @@
           placements.size(),
           failure == null ? "unavailable" : failure.getMessage());
     }
-    if (hasLeft(failure)) {
+    processEnded |=
+        failure != null
+            && (failure.type() == PlatformException.Type.UNREACHABLE
+                || failure.type() == PlatformException.Type.CONNECTION_CLOSED);
+    if (hasLeft()) {
       markAllLost("the worker has left");
     }
     if (reportInFlight) {
@@ -495,14 +514,11 @@
   }
 
   /**
-   * Returns whether a failed call shows that the worker's process has ended: it said that it would,
-   * its entry was removed, and nothing listens at its address.
+   * Returns whether the worker has left: it said that it would, its entry was removed, and it
+   * closed a connection instead of answering, or nothing listens at its address.
    */
-  private boolean hasLeft(@Nullable PlatformException failure) {
-    return !listed
-        && descriptor.draining()
-        && failure != null
-        && failure.type() == PlatformException.Type.UNREACHABLE;
+  private boolean hasLeft() {
+    return !listed && descriptor.draining() && processEnded;
   }
 
   private void markAllLost(String reason) {
@@ -518,6 +534,7 @@
       logger.atInfo().log("worker: %s answers again.", descriptor.id());
     }
     consecutiveFailures = 0;
+    processEnded = false;
     incarnationConfirmed = true;
     clockMs = report.clockMs();
     clockAtNs = loop.nowNs();
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -62,6 +62,7 @@
     private long lapsedUpTo;
     private boolean up = true;
     private boolean left;
+    private boolean closed;
     private boolean disconnected;
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
@@ -96,6 +97,12 @@
       left = true;
     }
 
+    /** Ends the process: open calls are cut off and later ones are not answered. */
+    void leaveSilently() {
+      crash();
+      closed = true;
+    }
+
     /** Blocks all calls in both directions. */
     void setDisconnected(boolean on) {
       disconnected = on;
@@ -365,6 +372,11 @@
         long waitMs,
         boolean dropped,
         long endsBefore) {
+      if (worker.closed) {
+        future.completeExceptionally(
+            new PlatformException(Type.CONNECTION_CLOSED, worker.id + " closed the connection"));
+        return;
+      }
       boolean waits =
           waitMs > 0
               && worker.lastNumber == endsBefore
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -174,6 +174,22 @@
     assertThat(cell.workers.workerOf("job.0.0.0")).isEqualTo(worker);
   }
 
+  @Test
+  void workerThatClosedItsConnectionHasLeftThoughItsAddressDoesNotAnswer() {
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    awaitCoordinator();
+    cell.submit("h0", "job", step(8, List.of(), true));
+    cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
+    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+
+    cell.workers.drain(worker);
+    cell.time.advance(1_500);
+    cell.workers.get(worker).leaveSilently();
+    cell.workers.list(worker, false);
+
+    assertThat(cell.time.advanceUntil(1_500, () -> cell.workers.running().size() == 8)).isTrue();
+  }
+
   @Test
   void runsOfWorkerThatHasLeftStartElsewhereBeforeTheirLeaseExpires() {
     cell.workers.durations(() -> Long.MAX_VALUE);
