--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -156,16 +156,21 @@
     cell.workers.running().forEach(task -> assertThat(cell.workers.workerOf(task)).isEqualTo("w3"));
   }
 
-  @Test
-  void drainingWorkerWhoseEntryLapsesKeepsItsRuns() {
+  /** Runs eight endless tasks and drains one of their workers; returns its id. */
+  private String drainWorkerWithRuns() {
     cell.workers.durations(() -> Long.MAX_VALUE);
     awaitCoordinator();
     cell.submit("h0", "job", step(8, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
     String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
-
     cell.workers.drain(worker);
     cell.time.advance(1_500);
+    return worker;
+  }
+
+  @Test
+  void drainingWorkerWhoseEntryLapsesKeepsItsRuns() {
+    String worker = drainWorkerWithRuns();
     cell.workers.list(worker, false);
     cell.time.advance(10_000);
 
@@ -176,14 +181,7 @@
 
   @Test
   void workerThatClosedItsConnectionHasLeftThoughItsAddressDoesNotAnswer() {
-    cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
-    cell.submit("h0", "job", step(8, List.of(), true));
-    cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
-    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
-
-    cell.workers.drain(worker);
-    cell.time.advance(1_500);
+    String worker = drainWorkerWithRuns();
     cell.workers.get(worker).leaveSilently();
     cell.workers.list(worker, false);
 
@@ -192,14 +190,7 @@
 
   @Test
   void runsOfWorkerThatHasLeftStartElsewhereBeforeTheirLeaseExpires() {
-    cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
-    cell.submit("h0", "job", step(8, List.of(), true));
-    cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
-    String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
-
-    cell.workers.drain(worker);
-    cell.time.advance(1_500);
+    String worker = drainWorkerWithRuns();
     cell.workers.get(worker).leave();
     cell.workers.list(worker, false);
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SlowStoreLoadTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SlowStoreLoadTest.java
@@ -30,12 +30,7 @@
     cell.store.answerMs(200);
     cell.store.serialAppendMs(150);
 
-    List<CompletableFuture<Shard.StoreResult>> answers = new ArrayList<>();
-    for (int i = 0; i < JOBS_PER_SECOND * SECONDS; i++) {
-      answers.add(cell.submit("h" + i % HOSTS, "job" + i, step(1, List.of(), false)));
-      cell.time.advance(1_000 / JOBS_PER_SECOND);
-    }
-    cell.time.advanceUntil(3_000, () -> answers.stream().allMatch(CompletableFuture::isDone));
+    List<CompletableFuture<Shard.StoreResult>> answers = submitJobs(cell, HOSTS);
     cell.time.advance(DRAIN_MS);
 
     assertThat(answers.stream().map(CompletableFuture::join).distinct().toList())
@@ -53,14 +48,21 @@
     cell.store.answerMs(390);
     cell.store.serialAppendMs(290);
 
+    List<CompletableFuture<Shard.StoreResult>> answers = submitJobs(cell, hosts);
+
+    long stored = answers.stream().filter(answer -> answer.join() == Shard.StoreResult.YES).count();
+    assertThat(stored).isAtLeast(answers.size() * 95 / 100);
+  }
+
+  /** Submits jobs at an even rate through all hosts and waits for the answers. */
+  private static List<CompletableFuture<Shard.StoreResult>> submitJobs(
+      SimulatedCell cell, int hosts) {
     List<CompletableFuture<Shard.StoreResult>> answers = new ArrayList<>();
     for (int i = 0; i < JOBS_PER_SECOND * SECONDS; i++) {
       answers.add(cell.submit("h" + i % hosts, "job" + i, step(1, List.of(), false)));
       cell.time.advance(1_000 / JOBS_PER_SECOND);
     }
     cell.time.advanceUntil(3_000, () -> answers.stream().allMatch(CompletableFuture::isDone));
-
-    long stored = answers.stream().filter(answer -> answer.join() == Shard.StoreResult.YES).count();
-    assertThat(stored).isAtLeast(answers.size() * 95 / 100);
+    return answers;
   }
 }
