Refuse at-most-once jobs as before while a new coordinator cannot read the log

Cause: a successor that could not read the log within a second answered in-doubt, which callers take for an answer, also for requests that nobody had received before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/coordinator/JobIntake.java
@@ -85,19 +85,14 @@
     }
   }
 
-  /**
-   * Answers that a job is in doubt: an earlier coordinator may have run it, and only the log could
-   * tell. Does nothing if a worker has reported the job's tasks meanwhile.
-   */
+  /** Rejects a job, unless a worker has reported its tasks meanwhile. */
   private void rejectUnrestored(Job job) {
-    if (!job.allInPhase(Phase.WAITING)) {
-      return;
+    if (job.allInPhase(Phase.WAITING)) {
+      String message =
+          "This coordinator has just taken over and can't read the log, which tells whether an"
+              + " earlier coordinator ran the job; repeat the request once the log is back.";
+      reject(job, new JournalException(JournalException.Type.LOG_OUT, message));
     }
-    String message =
-        "This coordinator has just taken over and can't read the log, which tells whether an"
-            + " earlier coordinator ran the job; repeat the request once the log is back.";
-    job.reason(new Reason(ReasonType.LOG_UNAVAILABLE, message));
-    discard(job, Phase.IN_DOUBT);
   }
 
   /** Claims a job's key in the log. */
