Let hosts append themselves again once a slow store has recovered

Found by reading: a host that leaves its appends to the first host of its partition while the store is slow measured no latency any more, so its estimate stayed slow and it relayed for good, a needless hop across regions for each request.

Change: the latency of a relayed append counts like that of an own one.

SlowStoreLoadTest.hostsAppendThemselvesAgainAfterTheStoreHasRecovered failed before (all later requests of four hosts were still relayed) and passes.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
@@ -120,16 +120,19 @@
   }
 
   private void relay(String peer, Runnable onFailed) {
+    final long sentNs = loop.nowNs();
     var unused =
         peers
             .call(peer, new PeerRequest.RelaySubmission(key, ByteBuffer.wrap(value)), timeoutMs())
             .whenComplete(
-                (reply, failure) -> loop.execute(() -> onRelayed(reply, failure, onFailed)));
+                (reply, failure) ->
+                    loop.execute(() -> onRelayed(reply, failure, sentNs, onFailed)));
   }
 
   private void onRelayed(
-      @Nullable PeerReply reply, @Nullable Throwable failure, Runnable onFailed) {
+      @Nullable PeerReply reply, @Nullable Throwable failure, long sentNs, Runnable onFailed) {
     if (reply instanceof PeerReply.Done) {
+      submissions.recordRelayedAppend(loop.nowNs() - sentNs);
       result.complete(StoreResult.YES);
       return;
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
@@ -76,6 +76,14 @@
     return probing || appendLatencies.smoothedMs() >= SLOW_LATENCY_MS;
   }
 
+  /**
+   * Records the latency of an append that another host has made for this one, which shows when the
+   * store has recovered. Called on the event loop thread.
+   */
+  void recordRelayedAppend(long latencyNs) {
+    appendLatencies.record(latencyNs);
+  }
+
   /**
    * Appends a record.
    *
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -36,6 +36,7 @@
   final FakeStore store;
   final FakeWorkers workers;
   private final Map<String, Host> hosts = new LinkedHashMap<>();
+  private int relayedSubmissions;
 
   SimulatedCell(long seed, int hostCount, int workerCount) {
     time = new VirtualTime(seed);
@@ -75,6 +76,9 @@
 
   private CompletableFuture<PeerReply> call(String address, PeerRequest request, long timeoutMs) {
     CompletableFuture<PeerReply> future = new CompletableFuture<>();
+    if (request instanceof PeerRequest.RelaySubmission) {
+      relayedSubmissions++;
+    }
     time.after(
         timeoutMs,
         () -> future.completeExceptionally(new IllegalStateException("no answer from " + address)));
@@ -97,6 +101,11 @@
     return future;
   }
 
+  /** Returns the number of submissions that hosts have sent to peers to append. */
+  int relayedSubmissions() {
+    return relayedSubmissions;
+  }
+
   void kill(String name) {
     host(name).loop.kill();
   }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SlowStoreLoadTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SlowStoreLoadTest.java
@@ -54,6 +54,27 @@
     assertThat(stored).isAtLeast(answers.size() * 95 / 100);
   }
 
+  @Test
+  void hostsAppendThemselvesAgainAfterTheStoreHasRecovered() {
+    int hosts = 16;
+    SimulatedCell cell = new SimulatedCell(7, hosts, 60);
+    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
+    cell.time.advance(5_000);
+    cell.store.answerMs(390);
+    cell.store.serialAppendMs(290);
+    submitJobs(cell, hosts);
+    assertThat(cell.relayedSubmissions()).isGreaterThan(0);
+
+    cell.store.answerMs(3);
+    cell.store.serialAppendMs(0);
+    cell.time.advance(3_000);
+    submitJobs(cell, hosts);
+    int relayedByThen = cell.relayedSubmissions();
+    submitJobs(cell, hosts);
+
+    assertThat(cell.relayedSubmissions()).isEqualTo(relayedByThen);
+  }
+
   /** Submits jobs at an even rate through all hosts and waits for the answers. */
   private static List<CompletableFuture<Shard.StoreResult>> submitJobs(
       SimulatedCell cell, int hosts) {
