--- a/daemon/src/main/java/org/hickorymoor/daemon/entry/Router.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/entry/Router.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -145,7 +144,7 @@
       } else if (reply != null) {
         result.complete(new RoutingResult(reply, maybeDelivered));
       } else {
-        maybeDelivered |= mayHaveBeenDelivered(failure);
+        maybeDelivered |= PeerException.mayHaveReachedPeer(failure);
         scheduleRetry();
       }
     }
@@ -170,12 +169,4 @@
   private static boolean mayHaveBeenExecuted(PeerErrorType type) {
     return type == PeerErrorType.STOPPING || type == PeerErrorType.INTERNAL;
   }
-
-  private static boolean mayHaveBeenDelivered(@Nullable Throwable failure) {
-    Throwable cause = failure;
-    if (failure instanceof CompletionException && failure.getCause() != null) {
-      cause = failure.getCause();
-    }
-    return !(cause instanceof PeerException e) || e.mayHaveTakenEffect();
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/HttpApiServer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpApiServer.java
@@ -177,18 +177,23 @@
                   (body, failure) -> {
                     if (failure == null) {
                       dispatch(new HttpCall(request, response, counted, body));
-                    } else if (RequestBodies.isTooLarge(failure)) {
-                      String message =
-                          "expected a body of at most "
-                              + ConfigCodec.MAX_BYTES
-                              + " bytes; reduce the size of the record";
-                      new HttpCall(request, response, counted, "")
-                          .replyError(HttpCall.CONTENT_TOO_LARGE, ErrorTypes.TOO_LARGE, message);
                     } else {
-                      counted.failed(failure);
+                      rejectBody(new HttpCall(request, response, counted, ""), counted, failure);
                     }
                   });
       return true;
     }
+
+    private static void rejectBody(HttpCall call, Callback callback, Throwable failure) {
+      BodyTooLargeException tooLarge = RequestBodies.tooLarge(failure);
+      if (tooLarge == null) {
+        callback.failed(failure);
+      } else {
+        call.replyError(
+            HttpCall.CONTENT_TOO_LARGE,
+            ErrorTypes.TOO_LARGE,
+            String.valueOf(tooLarge.getMessage()));
+      }
+    }
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/http/RequestBodies.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/RequestBodies.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Promise;
+import org.jspecify.annotations.Nullable;
 
 /** Reads the bodies of HTTP requests, whatever their transfer encoding. */
 public final class RequestBodies {
@@ -45,13 +46,13 @@
   }
 
   /**
-   * Returns whether a read failed because the body was too large.
+   * Returns the reason if a read failed because the body was too large.
    *
-   * @param failure failure of {@link #readText}
-   * @return false for failures of the connection
+   * @param failure failure of {@link #readText}, possibly wrapped
+   * @return null for failures of the connection
    */
-  public static boolean isTooLarge(Throwable failure) {
-    return failure instanceof BodyTooLargeException
-        || failure.getCause() instanceof BodyTooLargeException;
+  public static @Nullable BodyTooLargeException tooLarge(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof BodyTooLargeException tooLarge ? tooLarge : null;
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerException.java
@@ -66,10 +66,22 @@
    * @return true if the peer certainly did not receive the request
    */
   public static boolean isUnreachable(@Nullable Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
-    return cause instanceof PeerException known && known.type() == Type.UNREACHABLE;
+    return unwrap(failure) instanceof PeerException known && known.type() == Type.UNREACHABLE;
+  }
+
+  /**
+   * Returns whether a failed call may have been executed.
+   *
+   * @param failure failure of the call, possibly wrapped
+   * @return false if it is certain that the request was not executed
+   */
+  public static boolean mayHaveReachedPeer(@Nullable Throwable failure) {
+    return !(unwrap(failure) instanceof PeerException known) || known.mayHaveTakenEffect();
+  }
+
+  private static @Nullable Throwable unwrap(@Nullable Throwable failure) {
+    return failure instanceof CompletionException && failure.getCause() != null
+        ? failure.getCause()
+        : failure;
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
@@ -62,8 +62,8 @@
    */
   private static final long UNREACHABLE_TIMEOUT_MS = 550;
 
-  /** A healthy store answers a read within this time, also from a far region. */
-  private static final long MAX_HEALTHY_READ_MS = 200;
+  /** Timeout of the read before an early claim; a store that takes longer counts as slow. */
+  private static final long CLAIM_READ_TIMEOUT_MS = 200;
 
   private final ShardEventLoop loop;
   private final KeyedLogPort log;
@@ -174,7 +174,7 @@
     CoordinatorTerm own = term;
     if (own != null) {
       own.stop();
-      endTerm(own, reason);
+      endTerm(own.epoch(), reason);
     }
   }
 
@@ -226,7 +226,7 @@
       return;
     }
     loop.then(
-        log.readNewest(KeyedStream.OWNERSHIP, null, MAX_HEALTHY_READ_MS),
+        log.readNewest(KeyedStream.OWNERSHIP, null, CLAIM_READ_TIMEOUT_MS),
         (page, failure) -> {
           CoordinatorRecord newest = current;
           if (page != null
@@ -393,9 +393,8 @@
     }
     CoordinatorRecord claim = won.record();
     logger.atInfo().log("ownership: This host is elected coordinator, epoch %d.", claim.epoch());
-    TermListener termListener = new TermListener();
-    CoordinatorTerm own = new CoordinatorTerm(loop, log, claim, won.sentNs(), offset, termListener);
-    termListener.term = own;
+    CoordinatorTerm own =
+        new CoordinatorTerm(loop, log, claim, won.sentNs(), offset, new TermListener());
     term = own;
     current = claim;
     listener.onElected(claim);
@@ -405,12 +404,12 @@
     }
   }
 
-  private void endTerm(CoordinatorTerm own, String reason) {
-    if (term != own) {
+  private void endTerm(long epoch, String reason) {
+    if (term == null || term.epoch() != epoch) {
       return;
     }
     term = null;
-    logger.atInfo().log("ownership: Term of this host ended, epoch %d: %s.", own.epoch(), reason);
+    logger.atInfo().log("ownership: Term of this host ended, epoch %d: %s.", epoch, reason);
     listener.onDeposed(reason);
     startReading();
   }
@@ -433,8 +432,6 @@
 
   /** Listens to the heartbeats of this host's term. */
   private final class TermListener implements CoordinatorTerm.Listener {
-    private @Nullable CoordinatorTerm term;
-
     @Override
     public void onStoreAnswered() {
       CoordinatorElection.this.onStoreAnswered();
@@ -446,17 +443,13 @@
     }
 
     @Override
-    public void onHeartbeatLate(long confirmedOffset) {
-      if (term != null) {
-        listener.onStoreLost(term.epoch(), confirmedOffset);
-      }
+    public void onHeartbeatLate(long epoch, long confirmedOffset) {
+      listener.onStoreLost(epoch, confirmedOffset);
     }
 
     @Override
-    public void onEnded(String reason) {
-      if (term != null) {
-        endTerm(term, reason);
-      }
+    public void onEnded(long epoch, String reason) {
+      endTerm(epoch, reason);
     }
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorTerm.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorTerm.java
@@ -26,12 +26,13 @@
     /**
      * A heartbeat is late, so that this host may be the only one that the store does not serve.
      *
+     * @param epoch epoch of the term
      * @param confirmedOffset offset of the last confirmed heartbeat
      */
-    void onHeartbeatLate(long confirmedOffset);
+    void onHeartbeatLate(long epoch, long confirmedOffset);
 
-    /** The term has ended; called at most once. */
-    void onEnded(String reason);
+    /** The term of an epoch has ended; called at most once. */
+    void onEnded(long epoch, String reason);
   }
 
   /** A heartbeat that is answered later than this is late; a healthy store takes a few ms. */
@@ -142,7 +143,7 @@
         Math.max(MIN_LATE_MS, LATE_FACTOR * latencies.smoothedMs()),
         () -> {
           if (!ended && heartbeatInFlight && token == heartbeatToken) {
-            listener.onHeartbeatLate(confirmedOffset);
+            listener.onHeartbeatLate(claim.epoch(), confirmedOffset);
           }
         });
     loop.then(
@@ -183,12 +184,12 @@
       end("no heartbeat confirmed for " + ShardSettings.COORDINATOR_LEASE_MS + " ms");
       return;
     }
-    listener.onHeartbeatLate(confirmedOffset);
+    listener.onHeartbeatLate(claim.epoch(), confirmedOffset);
     scheduleHeartbeat(ShardSettings.STORE_RETRY_MS);
   }
 
   private void end(String reason) {
     ended = true;
-    listener.onEnded(reason);
+    listener.onEnded(claim.epoch(), reason);
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
@@ -32,7 +32,7 @@
   /** Interval of the probes while the store does not answer. */
   private static final long PROBE_INTERVAL_MS = 150;
 
-  /** A healthy store answers a read within this time, also from a far region. */
+  /** A late append counts as lost only if the store answers a read within this time. */
   private static final long MAX_HEALTHY_READ_MS = 100;
 
   /** Timeout of a probe; a store that is 100 times slower than usual answers within it. */
