Log which runs were starting when a worker ended, and what shows that it ended

A worker that crashed and one that is only silent left the same line. The line of a worker that stops answering now counts the runs that were starting, and a second one names them once the end is certain: the worker reports another start time, or the address answers 421 for another worker, which is now an outcome of its own. No decision changes. AdaptersTest took 421 for an unavailable worker; it now expects the new outcome, 429 and 503 as before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/TaskWorkerPort.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/TaskWorkerPort.java
@@ -40,8 +40,10 @@
     NO_ROOM,
     /** The approval is missing or has expired. */
     BAD_TICKET,
-    /** The worker is unhealthy or not the intended one; the command had no effect. */
+    /** The worker is unhealthy; the command had no effect. */
     UNAVAILABLE,
+    /** Another worker answers at the address: the intended one has ended. */
+    REPLACED,
     /** The worker could not parse the command. */
     MALFORMED
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -69,6 +69,7 @@
     private final WorkerAllocation allocation;
     private long acknowledgedNs = Long.MAX_VALUE;
     private boolean acknowledged;
+    private boolean startSent;
     private boolean unanswered;
     private boolean stopping;
     private boolean stopAcknowledged;
@@ -139,6 +140,9 @@
    */
   private static final long DRAINING_WORKER_LEASE_MS = 4_000;
 
+  /** A run that its worker has survived for this long is not suspected of crashing it. */
+  static final long STARTUP_MS = 500;
+
   /** Interval of lease renewals while the ends of runs can't be stored. */
   private static final long RENEW_INTERVAL_MS = 1_000;
 
@@ -180,6 +184,12 @@
   /** Whether calls since the last report show that the worker's process has ended. */
   private boolean processEnded;
 
+  /** Whether the crash that calls since the last report have shown is logged. */
+  private boolean crashReported;
+
+  /** Runs that were starting when calls began to fail; one of them may have crashed the worker. */
+  private List<Placement> crashSuspects = List.of();
+
   private int consecutiveFailures;
   private long incarnationMs = -1;
   private long clockMs;
@@ -252,6 +262,7 @@
     Placement placement = add(task);
     placement.acknowledgedNs = loop.nowNs();
     placement.acknowledged = true;
+    placement.startSent = true;
   }
 
   /**
@@ -290,13 +301,14 @@
    */
   void start(Placement placement, String payload, @Nullable String ticket) {
     long untilMs = newLeaseEndMs();
-    TaskProgress task = placement.task;
+    final TaskProgress task = placement.task;
     if (untilMs == 0) {
       remove(placement);
       listener.onRunNotStarted(placement, Outcome.LATE);
       return;
     }
     extendLease(untilMs);
+    placement.startSent = true;
     StartRequest request =
         new StartRequest(task.id().toString(), placement.run, payload, task.checkpoint(), ticket);
     loop.then(
@@ -444,8 +456,13 @@
     if (closed) {
       return;
     }
-    if (report == null || report.outcome() == Outcome.UNAVAILABLE) {
+    if (report == null
+        || report.outcome() == Outcome.UNAVAILABLE
+        || report.outcome() == Outcome.REPLACED) {
       onCallFailed(failure);
+      if (report != null && report.outcome() == Outcome.REPLACED) {
+        reportCrash("another worker answers at its address");
+      }
     } else if (report.outcome() == Outcome.FENCED) {
       listener.onFenced(descriptor.id());
     } else {
@@ -479,10 +496,12 @@
     consecutiveFailures++;
     incarnationConfirmed = false;
     if (consecutiveFailures == 1) {
+      crashSuspects = placements.values().stream().filter(this::isStarting).toList();
       logger.atInfo().log(
-          "worker: %s does not answer, %d runs there: %s",
+          "worker: %s does not answer, %d runs there, %d of them starting: %s",
           descriptor.id(),
           placements.size(),
+          crashSuspects.size(),
           failure == null ? "unavailable" : failure.getMessage());
     }
     processEnded |=
@@ -513,6 +532,24 @@
         });
   }
 
+  /** Returns whether the start of a run was sent, and the worker may not have survived it yet. */
+  private boolean isStarting(Placement placement) {
+    return placement.startSent
+        && (placement.startedNs == 0 || !hasElapsed(placement.startedNs, STARTUP_MS));
+  }
+
+  private void reportCrash(String evidence) {
+    if (crashReported) {
+      return;
+    }
+    crashReported = true;
+    logger.atInfo().log(
+        "worker: %s has ended, %s; runs that were starting: %s.",
+        descriptor.id(),
+        evidence,
+        crashSuspects.stream().map(suspect -> suspect.task.id() + " run " + suspect.run).toList());
+  }
+
   /**
    * Returns whether the worker has left: it said that it would, its entry was removed, and it
    * closed a connection instead of answering, or nothing listens at its address.
@@ -535,6 +572,7 @@
     }
     consecutiveFailures = 0;
     processEnded = false;
+    crashReported = false;
     incarnationConfirmed = true;
     clockMs = report.clockMs();
     clockAtNs = loop.nowNs();
@@ -544,6 +582,7 @@
     if (report.startedAtMs() >= 0) {
       incarnationMs = report.startedAtMs();
     }
+    crashSuspects = List.of();
     synced = true;
     Set<String> present = onRunningRuns(report.running());
     onEndedRuns(report.ended());
@@ -564,6 +603,7 @@
   private void onWorkerRestarted() {
     logger.atInfo().log(
         "worker: %s has restarted, %d runs were placed there.", descriptor.id(), placements.size());
+    reportCrash("it has restarted");
     lastEndNumber = 0;
     acknowledgedEndNumber = 0;
     allocation.resetFailures();
