--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.PlatformException;
@@ -35,8 +36,15 @@
   private static final boolean TRACE = Boolean.getBoolean("shard.trace");
 
   private static final long LINK_LATENCY_MS = 3;
+  private static final long CRASH_DELAY_MS = 10;
+  private static final long RESTART_DELAY_MS = 3_300;
   private static final long MAX_LEASE_MS = 6_000;
   private static final int CPU_MILLIS = 16_000;
+  private static final TaskWorkerPort.WorkerReply REPLACED_REPLY =
+      new TaskWorkerPort.WorkerReply(TaskWorkerPort.Outcome.REPLACED, -1);
+  private static final TaskWorkerPort.Report REPLACED_REPORT =
+      new TaskWorkerPort.Report(
+          TaskWorkerPort.Outcome.REPLACED, -1, -1, List.of(), List.of(), false);
   private static final int MEMORY_MB = 64_000;
 
   private static final class Run {
@@ -63,6 +71,7 @@
     private boolean up = true;
     private boolean left;
     private boolean closed;
+    private boolean replaced;
     private boolean disconnected;
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
@@ -103,6 +112,29 @@
       closed = true;
     }
 
+    /** Ends the process; it restarts with no state after some seconds. */
+    private void crashAndRestart() {
+      if (!up) {
+        return;
+      }
+      crashes++;
+      crash();
+      left = true;
+      closed = true;
+      time.after(
+          RESTART_DELAY_MS,
+          () -> {
+            left = false;
+            closed = false;
+            restart();
+            if (renamesRestarted) {
+              replaced = true;
+              add(id + "'");
+              list(id, false);
+            }
+          });
+    }
+
     /** Blocks all calls in both directions. */
     void setDisconnected(boolean on) {
       disconnected = on;
@@ -174,6 +206,10 @@
       trace(id + " starts " + request.task() + " run " + request.run() + " fence " + token);
       Run run = new Run(request.task(), request.run());
       running.put(request.task(), run);
+      startsByTask.merge(request.task(), 1, Integer::sum);
+      if (crashesWorker.test(request.task())) {
+        time.after(CRASH_DELAY_MS, this::crashAndRestart);
+      }
       long tookMs = durationMs.get();
       if (tookMs < Long.MAX_VALUE) {
         time.after(tookMs, () -> end(run, outcomes.of(request.task(), request.run(), id)));
@@ -235,7 +271,11 @@
   private final List<String> violations = new ArrayList<>();
   private Outcomes outcomes = (task, run, worker) -> TerminationReason.DONE;
   private Supplier<Long> durationMs = () -> 500L;
+  private final Map<String, Integer> startsByTask = new HashMap<>();
+  private Predicate<String> crashesWorker = task -> false;
+  private boolean renamesRestarted;
   private int starts;
+  private int crashes;
   private boolean checkFencingToken = true;
 
   FakeWorkers(VirtualTime time, FakeStore store) {
@@ -267,6 +307,11 @@
     store.put(KeyedStream.WORKERS, id, listed ? "ready".getBytes(UTF_8) : new byte[0]);
   }
 
+  /** Changes the processor capacity that a worker publishes. */
+  void resize(String id, int cpuMillis) {
+    store.put(KeyedStream.WORKERS, id, ("ready " + cpuMillis).getBytes(UTF_8));
+  }
+
   void drain(String id) {
     store.put(KeyedStream.WORKERS, id, "draining".getBytes(UTF_8));
   }
@@ -279,6 +324,26 @@
     durationMs = ms;
   }
 
+  /** Makes the worker that starts one of the given tasks crash. */
+  void crashOn(Predicate<String> tasks) {
+    crashesWorker = tasks;
+  }
+
+  /** Makes workers that have crashed come back at the same address under another ID. */
+  void renameRestarted() {
+    renamesRestarted = true;
+  }
+
+  /** Returns how often workers have crashed because of a task. */
+  int crashes() {
+    return crashes;
+  }
+
+  /** Returns how often a task was started. */
+  int startsOf(String task) {
+    return startsByTask.getOrDefault(task, 0);
+  }
+
   private void trace(String what) {
     if (TRACE) {
       System.err.println("at " + time.nowMs() + ": " + what);
@@ -303,9 +368,11 @@
   }
 
   static @Nullable WorkerDescriptor decode(String id, byte[] value) {
-    boolean draining = new String(value, UTF_8).equals("draining");
+    String[] fields = new String(value, UTF_8).split(" ");
+    boolean draining = fields[0].equals("draining");
+    int cpuMillis = fields.length > 1 ? Integer.parseInt(fields[1]) : CPU_MILLIS;
     return new WorkerDescriptor(
-        id, id, "pool", "d", "r1-1", Set.of("a"), CPU_MILLIS, MEMORY_MB, 0, draining);
+        id, id, "pool", "d", "r1-1", Set.of("a"), cpuMillis, MEMORY_MB, 0, draining);
   }
 
   /** Returns the workers as seen by a host. */
@@ -325,6 +392,7 @@
         boolean delayable,
         long waitMs,
         long timeoutMs,
+        T whenReplaced,
         Supplier<T> action) {
       Worker worker = get(descriptor.id());
       CompletableFuture<T> future = new CompletableFuture<>();
@@ -356,7 +424,7 @@
                   });
               return;
             }
-            T reply = action.get();
+            T reply = worker.replaced ? whenReplaced : action.get();
             boolean dropped = time.random().nextDouble() < worker.droppedAnswerShare;
             long endsBefore = worker.lastNumber;
             answer(worker, future, reply, action, waitMs, dropped, endsBefore);
@@ -382,6 +450,7 @@
               && worker.lastNumber == endsBefore
               && worker.ended.isEmpty()
               && worker.up
+              && !worker.replaced
               && !worker.disconnected;
       if (waits) {
         time.after(
@@ -406,13 +475,24 @@
         long fencingToken,
         long timeoutMs) {
       return call(
-          worker, true, 0, timeoutMs, () -> get(worker.id()).start(request, untilMs, fencingToken));
+          worker,
+          true,
+          0,
+          timeoutMs,
+          REPLACED_REPLY,
+          () -> get(worker.id()).start(request, untilMs, fencingToken));
     }
 
     @Override
     public CompletableFuture<WorkerReply> stop(
         WorkerDescriptor worker, String task, int run, long fencingToken, long timeoutMs) {
-      return call(worker, true, 0, timeoutMs, () -> get(worker.id()).stop(task, run, fencingToken));
+      return call(
+          worker,
+          true,
+          0,
+          timeoutMs,
+          REPLACED_REPLY,
+          () -> get(worker.id()).stop(task, run, fencingToken));
     }
 
     @Override
@@ -439,6 +519,7 @@
           false,
           waitMs,
           timeoutMs,
+          REPLACED_REPORT,
           () -> get(worker.id()).hold(untilMs, seenUpTo, fencingToken));
     }
   }
