Give up a task under which workers crash one after the other

Cause: only ends that a worker reports count as attempts, and a crashed worker reports none. A run that was starting when its worker ended is now counted against its task once the end is certain (the worker reports another start time, or another worker answers at its address); a lost connection doesn't count. Two in a row, and the task's job is failed, also if it is long-running.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -534,6 +534,9 @@
     TaskProgress task = placement.task();
     WorkerAllocation allocation = placement.allocation();
     metrics.runEnded(endKind);
+    if (endKind == TerminationReason.DONE || endKind == TerminationReason.FAILED) {
+      task.recordSurvivedStart(placement.run());
+    }
     if (endKind == TerminationReason.FAILED) {
       allocation.recordFailure();
       if (allocation.isUnhealthy()) {
@@ -553,6 +556,37 @@
     }
   }
 
+  @Override
+  public void onWorkerCrashed(Placement placement) {
+    TaskProgress task = placement.task();
+    Job job = jobs.get(task.id().jobId());
+    if (job == null || job.progress.state().isFinal()) {
+      return;
+    }
+    job.progress.recordWorkerCrash(task, placement.run());
+    metrics.crashSuspected();
+    logger.atInfo().log(
+        "task: %s run %d was starting when its worker %s crashed, %d of %d allowed crashes.",
+        task.id(),
+        placement.run(),
+        placement.allocation().descriptor().id(),
+        task.workerCrashes(),
+        JobProgress.MAX_WORKER_CRASHES);
+    if (job.progress.state() == WorkloadState.FAILED) {
+      onJobEnded(job, task.id() + " has crashed its workers");
+    }
+    onProgressChanged(job);
+  }
+
+  @Override
+  public void onStartSurvived(Placement placement) {
+    TaskProgress task = placement.task();
+    if (task.run() == placement.run()) {
+      task.recordSurvivedStart(placement.run());
+      schedulePlacement();
+    }
+  }
+
   @Override
   public void onRunLost(Placement placement, String reason) {
     metrics.runLost();
@@ -571,17 +605,7 @@
     job.progress.recordRunEnd(placement.task(), endKind, checkpoint);
     WorkloadState after = job.progress.state();
     if (before != after) {
-      metrics.jobEnded(after);
-      logger.atInfo().log(
-          "job: %s %s, %d ms after it was accepted, last run %s %s.",
-          job.id(),
-          after,
-          loop.nowMs() - job.progress.submission().acceptedAtMs(),
-          placement.task().id(),
-          endKind);
-      if (after == WorkloadState.FAILED) {
-        stopAllRuns(job);
-      }
+      onJobEnded(job, "last run " + placement.task().id() + " " + endKind);
     }
     onProgressChanged(job);
     if (!after.isFinal()) {
@@ -590,6 +614,17 @@
     schedulePlacement();
   }
 
+  private void onJobEnded(Job job, String cause) {
+    WorkloadState state = job.progress.state();
+    metrics.jobEnded(state);
+    logger.atInfo().log(
+        "job: %s %s, %d ms after it was accepted, %s.",
+        job.id(), state, loop.nowMs() - job.progress.submission().acceptedAtMs(), cause);
+    if (state == WorkloadState.FAILED) {
+      stopAllRuns(job);
+    }
+  }
+
   private void onProgressChanged(Job job) {
     markDirty(job);
     WorkloadState state = job.progress.state();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -67,6 +67,11 @@
     registry.counter("runs.gone").inc();
   }
 
+  /** Counts a run that was starting when its worker crashed. */
+  void crashSuspected() {
+    registry.counter("runs.crash-suspects").inc();
+  }
+
   /** Counts a start request. */
   void startSent() {
     registry.counter("starts.sent").inc();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.ActiveRun;
@@ -46,6 +48,12 @@
     /** A run has ended; the worker retains the end until {@link #runAfterStored} has run. */
     void onRunEnded(Placement placement, TerminationReason how, String checkpoint);
 
+    /** The worker crashed while it was starting a run, which may be the cause. */
+    void onWorkerCrashed(Placement placement);
+
+    /** The worker has survived the start of a run that was suspected of crashing another. */
+    void onStartSurvived(Placement placement);
+
     /** A run is lost: how it ended is unknown. */
     void onRunLost(Placement placement, String reason);
 
@@ -188,7 +196,7 @@
   private boolean crashReported;
 
   /** Runs that were starting when calls began to fail; one of them may have crashed the worker. */
-  private List<Placement> crashSuspects = List.of();
+  private final Set<Placement> crashSuspects = new LinkedHashSet<>();
 
   private int consecutiveFailures;
   private long incarnationMs = -1;
@@ -324,8 +332,9 @@
     }
     if (reply == null) {
       if (failure != null && !failure.mayHaveTakenEffect()) {
-        onCallFailed(failure);
         remove(placement);
+        crashSuspects.remove(placement);
+        onCallFailed(failure);
         listener.onRunNotStarted(placement, Outcome.UNAVAILABLE);
         return;
       }
@@ -338,8 +347,7 @@
       case ACCEPTED -> {
         markAcknowledged(placement);
         if (placement.startedNs == 0) {
-          placement.startedNs = loop.nowNs();
-          listener.onRunStarted(placement);
+          onStarted(placement);
         }
         updateSpeed(placement);
       }
@@ -347,12 +355,32 @@
       case STALE_RUN -> markAcknowledged(placement);
       default -> {
         remove(placement);
+        crashSuspects.remove(placement);
         listener.onRunNotStarted(placement, reply.outcome());
       }
     }
     requestReport();
   }
 
+  private void onStarted(Placement placement) {
+    placement.startedNs = loop.nowNs();
+    listener.onRunStarted(placement);
+    if (placement.task.workerCrashes() > 0) {
+      loop.schedule(STARTUP_MS, () -> checkStartSurvived(placement));
+    }
+  }
+
+  private void checkStartSurvived(Placement placement) {
+    if (!closed
+        && isCurrent(placement)
+        && consecutiveFailures == 0
+        && placement.startedNs != 0
+        && placement.task.workerCrashes() > 0
+        && !isStarting(placement)) {
+      listener.onStartSurvived(placement);
+    }
+  }
+
   private void markAcknowledged(Placement placement) {
     placement.unanswered = false;
     placement.acknowledged = true;
@@ -461,7 +489,7 @@
         || report.outcome() == Outcome.REPLACED) {
       onCallFailed(failure);
       if (report != null && report.outcome() == Outcome.REPLACED) {
-        reportCrash("another worker answers at its address");
+        onCrash("another worker answers at its address");
       }
     } else if (report.outcome() == Outcome.FENCED) {
       listener.onFenced(descriptor.id());
@@ -496,7 +524,7 @@
     consecutiveFailures++;
     incarnationConfirmed = false;
     if (consecutiveFailures == 1) {
-      crashSuspects = placements.values().stream().filter(this::isStarting).toList();
+      addCrashSuspects(Set.of());
       logger.atInfo().log(
           "worker: %s does not answer, %d runs there, %d of them starting: %s",
           descriptor.id(),
@@ -538,7 +566,15 @@
         && (placement.startedNs == 0 || !hasElapsed(placement.startedNs, STARTUP_MS));
   }
 
-  private void reportCrash(String evidence) {
+  private void addCrashSuspects(Set<String> stillRunning) {
+    for (Placement placement : placements.values()) {
+      if (isStarting(placement) && !stillRunning.contains(placement.task.id().toString())) {
+        crashSuspects.add(placement);
+      }
+    }
+  }
+
+  private void onCrash(String evidence) {
     if (crashReported) {
       return;
     }
@@ -548,6 +584,9 @@
         descriptor.id(),
         evidence,
         crashSuspects.stream().map(suspect -> suspect.task.id() + " run " + suspect.run).toList());
+    List<Placement> suspects = List.copyOf(crashSuspects);
+    crashSuspects.clear();
+    suspects.forEach(listener::onWorkerCrashed);
   }
 
   /**
@@ -577,12 +616,12 @@
     clockMs = report.clockMs();
     clockAtNs = loop.nowNs();
     if (incarnationMs >= 0 && report.startedAtMs() >= 0 && report.startedAtMs() != incarnationMs) {
-      onWorkerRestarted();
+      onWorkerRestarted(report);
     }
     if (report.startedAtMs() >= 0) {
       incarnationMs = report.startedAtMs();
     }
-    crashSuspects = List.of();
+    crashSuspects.clear();
     synced = true;
     Set<String> present = onRunningRuns(report.running());
     onEndedRuns(report.ended());
@@ -600,10 +639,15 @@
     }
   }
 
-  private void onWorkerRestarted() {
+  private void onWorkerRestarted(Report report) {
     logger.atInfo().log(
         "worker: %s has restarted, %d runs were placed there.", descriptor.id(), placements.size());
-    reportCrash("it has restarted");
+    if (crashSuspects.isEmpty()) {
+      // The restart was so quick that no call failed.
+      addCrashSuspects(
+          report.running().stream().map(ActiveRun::task).collect(Collectors.toUnmodifiableSet()));
+    }
+    onCrash("it has restarted");
     lastEndNumber = 0;
     acknowledgedEndNumber = 0;
     allocation.resetFailures();
@@ -626,9 +670,9 @@
         markAcknowledged(placement);
       }
       if (placement.startedNs == 0 && placement.acknowledged) {
-        placement.startedNs = loop.nowNs();
-        listener.onRunStarted(placement);
+        onStarted(placement);
       }
+      checkStartSurvived(placement);
       if (placement.stopping && hasElapsed(placement.stopSentNs, STOP_RETRY_MS)) {
         sendStop(placement);
       }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
@@ -198,9 +198,27 @@
           for (StepProgress step : steps) {
             writeStepProgress(out, step);
           }
+          writeWorkerCrashes(out, steps);
         });
   }
 
+  /** Writes the crashes after all else; readers of earlier versions ignore what follows. */
+  private static void writeWorkerCrashes(MessagePacker out, List<StepProgress> steps)
+      throws IOException {
+    List<TaskProgress> crashed =
+        steps.stream()
+            .flatMap(step -> step.tasks().stream())
+            .filter(task -> task.workerCrashes() > 0)
+            .toList();
+    out.packArrayHeader(crashed.size());
+    for (TaskProgress task : crashed) {
+      out.packInt(task.id().occurrence());
+      out.packInt(task.id().step());
+      out.packInt(task.id().index());
+      out.packInt(task.workerCrashes());
+    }
+  }
+
   private static void writeStepProgress(MessagePacker out, StepProgress step) throws IOException {
     out.packInt(step.tasks().get(0).id().occurrence());
     out.packInt(step.index());
@@ -236,6 +254,9 @@
       for (int i = 0; i < stepCount; i++) {
         restoreStep(job, in);
       }
+      if (in.hasNext()) {
+        restoreWorkerCrashes(job, in);
+      }
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
       throw new MalformedRecordException("progress", e);
     }
@@ -267,6 +288,21 @@
     }
   }
 
+  private static void restoreWorkerCrashes(JobProgress job, MessageUnpacker in)
+      throws IOException, MalformedRecordException {
+    int taskCount = in.unpackArrayHeader();
+    for (int i = 0; i < taskCount; i++) {
+      TaskId id =
+          new TaskId(job.submission().jobId(), in.unpackInt(), in.unpackInt(), in.unpackInt());
+      TaskProgress task = job.task(id);
+      int crashes = in.unpackInt();
+      if (task == null) {
+        throw new MalformedRecordException("crashes of unknown task " + id, null);
+      }
+      task.restoreWorkerCrashes(crashes);
+    }
+  }
+
   private static TaskProgress.Phase phase(int number) throws MalformedRecordException {
     TaskProgress.Phase[] phases = TaskProgress.Phase.values();
     if (number < 0 || number >= phases.length) {
--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -9,6 +9,9 @@
 /** A job and the progress of its tasks. Not thread-safe. */
 public final class JobProgress {
 
+  /** A task is given up once this many workers in a row have crashed while they started it. */
+  public static final int MAX_WORKER_CRASHES = 2;
+
   private final Submission submission;
   private final SortedMap<Integer, List<StepProgress>> occurrences = new TreeMap<>();
   private WorkloadState state = WorkloadState.QUEUED;
@@ -165,6 +168,23 @@
     }
   }
 
+  /**
+   * Records that a worker crashed while it was starting a run. The job fails when the task has
+   * crashed as many workers as are allowed, also if the task is long-running.
+   *
+   * @param task the task
+   * @param run number of the run
+   */
+  public void recordWorkerCrash(TaskProgress task, int run) {
+    if (task.phase() == TaskProgress.Phase.DONE) {
+      return;
+    }
+    task.recordWorkerCrash(run);
+    if (task.workerCrashes() >= MAX_WORKER_CRASHES && !state.isFinal()) {
+      state = WorkloadState.FAILED;
+    }
+  }
+
   private void recordSuccess(StepProgress step, TaskProgress task) {
     if (step.spec().gang()) {
       // The members of a gang succeed together, so one report applies to all of them.
--- a/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
@@ -23,6 +23,8 @@
   private Phase phase = Phase.IDLE;
   private int run;
   private int failures;
+  private int workerCrashes;
+  private int lastSurvivedRun;
   private String checkpoint = "";
   private @Nullable String workerId;
 
@@ -56,6 +58,14 @@
     return failures;
   }
 
+  /**
+   * Returns how many workers in a row have crashed while they were starting the task; 0 once a
+   * worker has survived the start.
+   */
+  public int workerCrashes() {
+    return workerCrashes;
+  }
+
   /** Returns the latest checkpoint; empty if there is none. */
   public String checkpoint() {
     return checkpoint;
@@ -112,6 +122,24 @@
     failedOn.add(worker);
   }
 
+  /** Records that a run's worker crashed while it was starting the run. */
+  void recordWorkerCrash(int crashedRun) {
+    if (crashedRun > lastSurvivedRun) {
+      workerCrashes++;
+    }
+  }
+
+  /** Records that a run's worker has survived the start of the run. */
+  public void recordSurvivedStart(int survivedRun) {
+    lastSurvivedRun = Math.max(lastSurvivedRun, survivedRun);
+    workerCrashes = 0;
+  }
+
+  /** Restores the number of workers that have crashed in a row from the ledger. */
+  public void restoreWorkerCrashes(int stored) {
+    workerCrashes = stored;
+  }
+
   /** Marks the task as succeeded. */
   public void markSucceeded() {
     phase = Phase.DONE;
