Start runs elsewhere at once when another worker has their worker's address

A call names the worker that it is meant for, and a 421 from the address that the worker has published says that its process has ended, so its runs can't be at work any more: they count as lost with that answer. An answer from an address that the worker has left meanwhile says nothing.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -866,7 +866,7 @@
           urgent
               ? 0
               : (int) Math.round(allocation.descriptor().cpuMillis() * URGENT_HEADROOM_SHARE);
-      if (!allocation.fits(task, keepFree)) {
+      if (!allocation.fits(task, keepFree) || !session.isStartable(task)) {
         continue;
       }
       double cost = allocation.cost(task, gangRack);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -198,6 +198,9 @@
   /** Runs that were starting when calls began to fail; one of them may have crashed the worker. */
   private final Set<Placement> crashSuspects = new LinkedHashSet<>();
 
+  /** The latest run whose task has crashed another worker; it starts alone. */
+  private @Nullable Placement isolated;
+
   private int consecutiveFailures;
   private long incarnationMs = -1;
   private long clockMs;
@@ -261,6 +264,27 @@
         && !allocation.isUnhealthy();
   }
 
+  /**
+   * Returns whether a run may start beside those that are starting now. A task under which a worker
+   * has crashed starts alone, so that another crash shows whether it is the cause.
+   */
+  boolean isStartable(TaskProgress task) {
+    if (isolated != null && isCurrent(isolated) && mayBeStarting(isolated)) {
+      return isSameGang(isolated, task);
+    }
+    return task.workerCrashes() == 0
+        || placements.values().stream()
+            .noneMatch(other -> mayBeStarting(other) && !isSameGang(other, task));
+  }
+
+  private boolean mayBeStarting(Placement placement) {
+    return !placement.startSent || isStarting(placement);
+  }
+
+  private static boolean isSameGang(Placement placement, TaskProgress task) {
+    return task.spec().gang() && placement.task.id().stepName().equals(task.id().stepName());
+  }
+
   Iterable<Placement> placements() {
     return List.copyOf(placements.values());
   }
@@ -280,6 +304,9 @@
     Placement placement = new Placement(task, task.run(), allocation);
     allocation.reserve(task.id(), task.run(), task.spec());
     placements.put(task.id().toString(), placement);
+    if (task.workerCrashes() > 0) {
+      isolated = placement;
+    }
     return placement;
   }
 
@@ -451,9 +478,10 @@
       requestReport();
     }
     long sentNs = loop.nowNs();
+    String address = descriptor.address();
     loop.then(
         port.renewLease(descriptor, 0, 0, fencingToken, 0, START_TIMEOUT_MS),
-        (report, failure) -> onReportAnswered(report, failure, sentNs));
+        (report, failure) -> onReportAnswered(report, failure, sentNs, address));
   }
 
   private void sendReportRequest(long waitMs) {
@@ -465,6 +493,7 @@
       extendLease(untilMs);
     }
     long sentNs = loop.nowNs();
+    String address = descriptor.address();
     loop.then(
         port.renewLease(
             descriptor,
@@ -475,12 +504,15 @@
             waitMs + REQUEST_TIMEOUT_MS),
         (report, failure) -> {
           reportInFlight = false;
-          onReportAnswered(report, failure, sentNs);
+          onReportAnswered(report, failure, sentNs, address);
         });
   }
 
   private void onReportAnswered(
-      @Nullable Report report, @Nullable PlatformException failure, long sentNs) {
+      @Nullable Report report,
+      @Nullable PlatformException failure,
+      long sentNs,
+      String calledAddress) {
     if (closed) {
       return;
     }
@@ -488,8 +520,11 @@
         || report.outcome() == Outcome.UNAVAILABLE
         || report.outcome() == Outcome.REPLACED) {
       onCallFailed(failure);
-      if (report != null && report.outcome() == Outcome.REPLACED) {
+      if (report != null
+          && report.outcome() == Outcome.REPLACED
+          && calledAddress.equals(descriptor.address())) {
         onCrash("another worker answers at its address");
+        markAllLost("another worker has taken the address of its worker");
       }
     } else if (report.outcome() == Outcome.FENCED) {
       listener.onFenced(descriptor.id());
