--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -285,10 +285,6 @@
     return task.spec().gang() && placement.task.id().stepName().equals(task.id().stepName());
   }
 
-  Iterable<Placement> placements() {
-    return List.copyOf(placements.values());
-  }
-
   /** Adopts a run that an earlier coordinator placed. */
   void adopt(TaskProgress task) {
     Placement placement = add(task);
