Start nothing on a worker whose capacity shrank after the task was placed

What workers saw in the test that failed: six tasks of 1,000 thousandths of a core started on workers that had published 500 before the starts were sent. A placement is checked against the capacity when it is made, and its start is sent once it is stored; a worker's capacity may change while it runs. The start is now sent only if the worker still holds what is reserved there; otherwise the task is placed elsewhere. Tests of the crash count in JobProgress and WorkloadCodec go with it.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -896,7 +896,11 @@
       job.deferredStarts.add(() -> sendStart(job, session, placement, ticket));
       return;
     }
-    if (closed || placement.isStopping() || job.progress.state().isFinal()) {
+    // The worker's capacity may have shrunk while the placement was being stored.
+    if (closed
+        || placement.isStopping()
+        || job.progress.state().isFinal()
+        || session.allocation().isOverCommitted()) {
       session.withdraw(placement);
       if (!closed) {
         endRun(job, placement, TerminationReason.STOPPED, "");
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
@@ -68,6 +68,7 @@
     TaskProgress failed = job.steps(0).get(1).tasks().get(0);
     failed.place("w2", 1);
     job.recordRunEnd(failed, TerminationReason.FAILED, "");
+    job.recordWorkerCrash(placed, 4);
     job.markRunning();
 
     JobProgress restored = new JobProgress(SUBMISSION);
@@ -79,9 +80,25 @@
     assertThat(again.workerId()).isEqualTo("w1");
     assertThat(again.run()).isEqualTo(4);
     assertThat(again.checkpoint()).isEqualTo("c9");
+    assertThat(again.workerCrashes()).isEqualTo(1);
     assertThat(restored.steps(0).get(1).tasks().get(0).failures()).isEqualTo(1);
   }
 
+  @Test
+  void progressOfEarlierVersionWithoutCrashesIsRead() throws MalformedRecordException {
+    JobProgress job = new JobProgress(SUBMISSION);
+    job.startDueOccurrences(1_600);
+    job.steps(1).get(1).tasks().get(2).place("w1", 4);
+    byte[] record = WorkloadCodec.encodeProgress(job);
+    // The empty list of crashes at the end takes one byte.
+    byte[] earlier = Arrays.copyOf(record, record.length - 1);
+
+    JobProgress restored = new JobProgress(SUBMISSION);
+    WorkloadCodec.restore(restored, earlier);
+
+    assertThat(restored.steps(1).get(1).tasks().get(2).run()).isEqualTo(4);
+  }
+
   @Test
   void truncatedRecordsAndOtherFormatVersionsAreRejected() {
     byte[] record = WorkloadCodec.encode(SUBMISSION);
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -98,6 +98,13 @@
     return descriptor.memoryMb() - usedMemoryMb;
   }
 
+  /** Returns whether more is reserved than the worker holds, since its capacity has shrunk. */
+  public boolean isOverCommitted() {
+    return freeCpuMillis() < 0
+        || freeMemoryMb() < 0
+        || usedAccelerators > descriptor.accelerators();
+  }
+
   /** Returns the number of runs that may be on the worker. */
   public int runs() {
     return reserved.size();
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -70,6 +70,34 @@
     assertThat(job.readySteps()).isEmpty();
   }
 
+  @Test
+  void jobFailsWhenWorkersCrashInRowUnderTask() {
+    JobProgress job = job(step(1, List.of(), false, true));
+    TaskProgress task = task(job, 0, 0);
+    for (int crash = 1; crash <= JobProgress.MAX_WORKER_CRASHES; crash++) {
+      assertThat(job.state()).isEqualTo(WorkloadState.QUEUED);
+      task.place("w", crash);
+      job.recordWorkerCrash(task, crash);
+      job.recordRunEnd(task, TerminationReason.LAPSED, "");
+    }
+
+    assertThat(job.state()).isEqualTo(WorkloadState.FAILED);
+  }
+
+  @Test
+  void survivedStartClearsCrashesOfEarlierRunsForGood() {
+    JobProgress job = job(step(1, List.of(), false, false));
+    TaskProgress task = task(job, 0, 0);
+    task.place("w", 5);
+    job.recordWorkerCrash(task, 4);
+    assertThat(task.workerCrashes()).isEqualTo(1);
+
+    task.recordSurvivedStart(5);
+    job.recordWorkerCrash(task, 4);
+
+    assertThat(task.workerCrashes()).isEqualTo(0);
+  }
+
   @Test
   void longRunningTaskIsRestartedForEveryTerminationReason() {
     JobProgress job = job(step(1, List.of(), false, true));
--- a/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
@@ -74,6 +74,21 @@
     assertThat(worker.fits(task(100, null, null, 1, false, 0, 1), 0)).isTrue();
   }
 
+  @Test
+  void workerWhoseCapacityShrinksBelowItsReservationsIsOverCommitted() {
+    WorkerAllocation worker = worker("w", "r1-1");
+    TaskProgress task = task(3_000, 0);
+    worker.reserve(task.id(), 1, task.spec());
+    assertThat(worker.isOverCommitted()).isFalse();
+
+    worker.update(
+        new WorkerDescriptor("w", "a", "pool", "d", "r1-1", Set.of(), 2_000, 8_000, 1, false));
+    assertThat(worker.isOverCommitted()).isTrue();
+    assertThat(worker.fits(task(0, 1), 0)).isFalse();
+    worker.release(task.id(), 1);
+    assertThat(worker.isOverCommitted()).isFalse();
+  }
+
   @Test
   void bestEffortTaskReservesMemoryOnly() {
     WorkerAllocation worker = worker("w", "r1-1");
