Refuse jobs of more tasks than one record of the store can hold

Found by looking for the same class of fault, one request that takes down one process after another: a step could ask for two billion tasks. The host that took the job stored it, the coordinator made room for each task, ran out of memory and ended (the JVM exits on OutOfMemoryError), and so did each successor that read the submission. A schedule with a short interval and a first run long ago did the same with its occurrences. A job is now refused with 400 above 4,000 tasks, whose progress fits one record of 256 KiB, and at most that many unfinished tasks of a schedule are begun; the rest follows as they finish.

--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -41,19 +41,33 @@
   }
 
   /**
-   * Creates the steps of all occurrences that are due.
+   * Creates the steps of the occurrences that are due, as long as the job has at most {@link
+   * WorkloadSpec#MAX_TASKS} unfinished tasks.
    *
    * @param nowMs Unix time
    */
   public void startDueOccurrences(long nowMs) {
     WorkloadSpec spec = submission.spec();
     int next = occurrences.isEmpty() ? 0 : occurrences.lastKey() + 1;
-    while (next < spec.occurrences() && spec.dueMs(next) <= nowMs) {
+    long tasks = spec.steps().stream().mapToLong(StepSpec::count).sum();
+    long room = WorkloadSpec.MAX_TASKS - unfinishedTasks();
+    while (next < spec.occurrences() && spec.dueMs(next) <= nowMs && room >= tasks) {
       steps(next);
       next++;
+      room -= tasks;
     }
   }
 
+  private long unfinishedTasks() {
+    long unfinished = 0;
+    for (List<StepProgress> steps : occurrences.values()) {
+      for (StepProgress step : steps) {
+        unfinished += step.tasks().size() - step.count(TaskProgress.Phase.DONE);
+      }
+    }
+    return unfinished;
+  }
+
   /** Returns the steps of an occurrence; creates them if it has not begun yet. */
   public List<StepProgress> steps(int occurrence) {
     return occurrences.computeIfAbsent(
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkloadSpec.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkloadSpec.java
@@ -14,9 +14,22 @@
 public record WorkloadSpec(
     String payload, List<StepSpec> steps, int repetitions, long firstRunMs, long intervalMs) {
 
-  /** Checks that each step depends on earlier steps only; copies the list. */
+  /**
+   * Maximum number of tasks in one occurrence. The progress of all of them is one record of the
+   * store, which takes 256 KiB.
+   */
+  public static final int MAX_TASKS = 4_000;
+
+  /**
+   * Checks the number of tasks and that each step depends on earlier steps only; copies the list.
+   */
   public WorkloadSpec {
     steps = List.copyOf(steps);
+    long tasks = steps.stream().mapToLong(StepSpec::count).sum();
+    if (tasks > MAX_TASKS) {
+      throw new IllegalArgumentException(
+          "steps: expected at most " + MAX_TASKS + " tasks, got " + tasks);
+    }
     if (steps.isEmpty()) {
       throw new IllegalArgumentException("steps: expected at least one step, got none");
     }
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -164,6 +164,31 @@
     assertThat(job.occurrences()).hasSize(3);
   }
 
+  // Guards against a single job that exhausts the memory of one coordinator after another.
+  @Test
+  void jobOfTooManyTasksIsRejected() {
+    StepSpec step = step(2_000_000_000, List.of(), false, false);
+
+    assertThrows(
+        IllegalArgumentException.class, () -> new WorkloadSpec("p", List.of(step, step), 0, 0, 0));
+  }
+
+  // Guards against a schedule whose overdue occurrences all begin at once.
+  @Test
+  void overdueOccurrencesBeginOnlyAsEarlierOnesFinish() {
+    WorkloadSpec spec =
+        new WorkloadSpec(
+            "p", List.of(step(1_000, List.of(), false, false)), Integer.MAX_VALUE, 0, 1);
+    JobProgress job = new JobProgress(new Submission("job", 0, POLICY, spec));
+
+    job.startDueOccurrences(Long.MAX_VALUE);
+    assertThat(job.occurrences()).hasSize(4);
+
+    job.steps(0).get(0).tasks().forEach(TaskProgress::markSucceeded);
+    job.startDueOccurrences(Long.MAX_VALUE);
+    assertThat(job.occurrences()).hasSize(5);
+  }
+
   @Test
   void runNumberMustIncrease() {
     TaskProgress task = task(job(step(1, List.of(), false, false)), 0, 0);
