Keep one failing job from stopping the ledger, the placement or the list of workers

An unexpected exception in one callback of the ledger dropped all later callbacks of its batch; one in the content of a record left it in the way of every later record; one in the placement of a step ended the pass before the steps after it, each time, on each coordinator; one in the 250 ms check or in a change of the list of workers ended these for good. Found by reading. Each is now caught where it arises, logged with what it was about, and the rest goes on; a job whose placement fails waits a second. LedgerWriterTest shows the two in the ledger.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -63,6 +63,9 @@
   /** Wait before a job is placed again after one of its runs was not started. */
   private static final long REFUSED_START_BACKOFF_MS = 100;
 
+  /** Wait before a job whose placement failed unexpectedly is placed again. */
+  private static final long FAILED_PASS_BACKOFF_MS = 1_000;
+
   /** Share of a worker's processor capacity that is reserved for the most urgent priority, 0. */
   private static final double URGENT_HEADROOM_SHARE = 0.06;
 
@@ -704,6 +707,7 @@
     if (closed) {
       return;
     }
+    loop.schedule(TICK_INTERVAL_MS, this::tick);
     long nowMs = loop.nowMs();
     for (Job job : jobs.values()) {
       if (job.progress.submission().spec().repetitions() > 0) {
@@ -728,7 +732,6 @@
       releaseOrphanedTasks();
       schedulePlacement();
     }
-    loop.schedule(TICK_INTERVAL_MS, this::tick);
   }
 
   private void schedulePlacement() {
@@ -763,7 +766,14 @@
     }
     candidates.sort(Comparator.comparing(ReadyStep::urgency));
     Map<String, List<WorkerSession>> schedulable = new HashMap<>();
-    candidates.forEach(next -> placeStep(next.job(), next.step(), schedulable));
+    for (ReadyStep next : candidates) {
+      boolean placed =
+          ShardEventLoop.runIsolated(
+              () -> placeStep(next.job(), next.step(), schedulable), "step " + next.step().name());
+      if (!placed) {
+        next.job().backoffUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(FAILED_PASS_BACKOFF_MS);
+      }
+    }
     placementPacer.passEnded();
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
@@ -138,10 +138,15 @@
     var keys = dirty.entrySet().iterator();
     while (keys.hasNext() && bytes < MAX_BATCH_BYTES) {
       var next = keys.next();
-      byte[] content = next.getValue().get();
-      entries.add(new Entry(next.getKey(), content));
-      bytes += content.length + next.getKey().length();
+      String key = next.getKey();
+      Supplier<byte[]> content = next.getValue();
       keys.remove();
+      int index = entries.size();
+      ShardEventLoop.runIsolated(
+          () -> entries.add(new Entry(key, content.get())), "the ledger record of " + key);
+      if (entries.size() > index) {
+        bytes += entries.get(index).value().length + key.length();
+      }
     }
     List<Runnable> callbacks = List.of();
     if (dirty.isEmpty()) {
@@ -157,7 +162,7 @@
     } else if (newest != null) {
       newest.callbacks.addAll(callbacks);
     } else {
-      callbacks.forEach(Runnable::run);
+      runCallbacks(callbacks);
     }
     if (!dirty.isEmpty() || !pendingCallbacks.isEmpty()) {
       scheduleFlush();
@@ -211,13 +216,17 @@
         oldest != null && oldest.stored;
         oldest = inFlight.peekFirst()) {
       inFlight.remove();
-      oldest.callbacks.forEach(Runnable::run);
+      runCallbacks(oldest.callbacks);
     }
     if (!dirty.isEmpty() || !pendingCallbacks.isEmpty()) {
       scheduleFlush();
     }
   }
 
+  private static void runCallbacks(List<Runnable> callbacks) {
+    callbacks.forEach(callback -> ShardEventLoop.runIsolated(callback, "a stored change"));
+  }
+
   private void onFailed(Batch batch, PlatformException failure) {
     boolean overtookEarlier =
         failure.type() == PlatformException.Type.OUT_OF_ORDER && !batch.sentAsOldest;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardEventLoop.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardEventLoop.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.shard;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -41,6 +42,26 @@
             (value, failure) -> execute(() -> handler.accept(value, unwrap(failure))));
   }
 
+  /**
+   * Runs a task and logs an unexpected exception, so that what follows the task still runs.
+   *
+   * @param task the task
+   * @param subject what the task handles, for the log
+   * @return whether the task completed
+   */
+  static boolean runIsolated(Runnable task, String subject) {
+    try {
+      task.run();
+      return true;
+    } catch (RuntimeException e) {
+      FluentLogger.forEnclosingClass()
+          .atSevere()
+          .withCause(e)
+          .log("shard: Handling %s failed.", subject);
+      return false;
+    }
+  }
+
   /** Returns the failure of a call as a {@link PlatformException}, or null if it succeeded. */
   static @Nullable PlatformException unwrap(@Nullable Throwable failure) {
     if (failure == null) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SingleThreadEventLoop.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SingleThreadEventLoop.java
@@ -32,7 +32,11 @@
   @Override
   public void schedule(long delayMs, Runnable task) {
     try {
-      var unused = executor.schedule(() -> run(task), delayMs, TimeUnit.MILLISECONDS);
+      var unused =
+          executor.schedule(
+              () -> ShardEventLoop.runIsolated(task, "a task of the event loop"),
+              delayMs,
+              TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException e) {
       logger.atFine().log("shard: Task rejected, the event loop is stopped.");
     }
@@ -64,12 +68,4 @@
       Thread.currentThread().interrupt();
     }
   }
-
-  private static void run(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      logger.atSevere().withCause(e).log("shard: Task of the event loop failed.");
-    }
-  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
@@ -72,7 +72,7 @@
             nextOffset = endOffset;
             listed.clear();
             listed.putAll(loading);
-            listener.accept(Map.copyOf(listed));
+            notifyListener();
             loop.schedule(POLL_INTERVAL_MS, WorkerCatalog.this::poll);
           }
         });
@@ -96,13 +96,18 @@
               nextOffset = stored.offset() + 1;
             }
             if (!chunk.records().isEmpty() && !closed) {
-              listener.accept(Map.copyOf(listed));
+              notifyListener();
             }
           }
           loop.schedule(POLL_INTERVAL_MS, this::poll);
         });
   }
 
+  private void notifyListener() {
+    ShardEventLoop.runIsolated(
+        () -> listener.accept(Map.copyOf(listed)), "a change of the list of workers");
+  }
+
   private void apply(Map<String, WorkerDescriptor> workers, StoredRecord stored) {
     WorkerDescriptor descriptor =
         stored.isTombstone() ? null : decoder.decode(stored.key(), stored.value());
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LedgerWriterTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LedgerWriterTest.java
@@ -48,6 +48,27 @@
     assertThat(store.appends() - before).isLessThan(40);
   }
 
+  // Guards against one job whose handling fails unexpectedly and stops the ledger for all others.
+  @Test
+  void changesAreStoredAlthoughTheHandlingOfOneFails() {
+    LedgerWriter writer = writer(1);
+    writer.markDirty(
+        "bad",
+        () -> {
+          throw new IllegalStateException("no content");
+        });
+    writer.runAfterStored(
+        () -> {
+          throw new IllegalStateException("callback fails");
+        });
+    recordChange(writer, "good");
+    time.advance(50);
+    recordChange(writer, "later");
+    time.advance(50);
+
+    assertThat(stored).containsExactly("good", "later").inOrder();
+  }
+
   /**
    * Load pattern: the store takes 400 ms for each call while changes keep coming. A change must not
    * wait for the previous append, which alone would use up two thirds of the 600 ms that a queue
