Place a task that may crash its worker where the fewest runs are lost with it

Such a task now prefers the worker with the fewest runs. The runs of a worker and what is suspected of them move out of WorkerSession into classes of their own, unchanged.

--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -0,0 +1,103 @@
+package org.hickorymoor.daemon.shard;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hickorymoor.domain.workload.TaskProgress;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tracks which runs may be the cause if their worker has crashed, and lets tasks that have been
+ * suspected before start alone. Not thread-safe; confined to the event loop thread.
+ */
+final class CrashSuspects {
+
+  private final ShardEventLoop loop;
+  private final Map<String, Placement> placements;
+  private final Set<Placement> suspects = new LinkedHashSet<>();
+
+  /** The latest run whose task has been suspected before. */
+  private @Nullable Placement isolated;
+
+  /**
+   * Creates an empty set of suspects.
+   *
+   * @param placements the runs on the worker by task; changes as they start and end
+   */
+  CrashSuspects(ShardEventLoop loop, Map<String, Placement> placements) {
+    this.loop = loop;
+    this.placements = placements;
+  }
+
+  /** Notes a run that has just been placed. */
+  void runPlaced(Placement placement) {
+    if (placement.task.workerCrashes() > 0) {
+      isolated = placement;
+    }
+  }
+
+  /**
+   * Returns whether a run may start beside those that are starting now. A task under which a worker
+   * has crashed starts alone, so that another crash shows whether it is the cause.
+   */
+  boolean isStartable(TaskProgress task) {
+    if (isolated != null
+        && placements.get(isolated.task.id().toString()) == isolated
+        && mayBeStarting(isolated)) {
+      return isSameGang(isolated, task);
+    }
+    return task.workerCrashes() == 0
+        || placements.values().stream()
+            .noneMatch(other -> mayBeStarting(other) && !isSameGang(other, task));
+  }
+
+  private boolean mayBeStarting(Placement placement) {
+    return !placement.startSent || placement.isStarting(loop.nowNs());
+  }
+
+  private static boolean isSameGang(Placement placement, TaskProgress task) {
+    return task.spec().gang() && placement.task.id().stepName().equals(task.id().stepName());
+  }
+
+  /**
+   * Suspects the runs that are starting now, since the worker has stopped answering or has
+   * restarted.
+   *
+   * @param stillRunning tasks that the worker has reported as running since
+   */
+  void suspectStartingRuns(Set<String> stillRunning) {
+    placements.forEach(
+        (task, placement) -> {
+          if (placement.isStarting(loop.nowNs()) && !stillRunning.contains(task)) {
+            suspects.add(placement);
+          }
+        });
+  }
+
+  /** Acquits a run that certainly did not start. */
+  void remove(Placement placement) {
+    suspects.remove(placement);
+  }
+
+  /** Acquits all, since the worker has not crashed. */
+  void clear() {
+    suspects.clear();
+  }
+
+  /** Returns the suspects and forgets them. */
+  List<Placement> drain() {
+    List<Placement> drained = new ArrayList<>(suspects);
+    suspects.clear();
+    return drained;
+  }
+
+  boolean isEmpty() {
+    return suspects.isEmpty();
+  }
+
+  int size() {
+    return suspects.size();
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -18,7 +18,6 @@
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
-import org.hickorymoor.daemon.shard.WorkerSession.Placement;
 import org.hickorymoor.domain.workload.ApprovalPolicy;
 import org.hickorymoor.domain.workload.JobProgress;
 import org.hickorymoor.domain.workload.QueuePolicy;
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -0,0 +1,65 @@
+package org.hickorymoor.daemon.shard;
+
+import java.util.concurrent.TimeUnit;
+import org.hickorymoor.domain.workload.TaskProgress;
+import org.hickorymoor.domain.workload.WorkerAllocation;
+
+/**
+ * A run that is or may be on a worker, with the state of its requests, which the worker's session
+ * keeps. Not thread-safe; confined to the event loop thread.
+ */
+final class Placement {
+
+  static final int FULL_SPEED_PERCENT = 100;
+
+  /** A run that its worker has survived for this long is not suspected of crashing it. */
+  static final long STARTUP_MS = 500;
+
+  final TaskProgress task;
+  final int run;
+  final WorkerAllocation allocation;
+  long acknowledgedNs = Long.MAX_VALUE;
+  boolean acknowledged;
+  boolean startSent;
+  boolean unanswered;
+  boolean stopping;
+  boolean stopAcknowledged;
+  long stopSentNs;
+  long unansweredSinceNs;
+  long startedNs;
+  int desiredPercent = FULL_SPEED_PERCENT;
+  int requestedPercent = FULL_SPEED_PERCENT;
+
+  Placement(TaskProgress task, int run, WorkerAllocation allocation) {
+    this.task = task;
+    this.run = run;
+    this.allocation = allocation;
+  }
+
+  TaskProgress task() {
+    return task;
+  }
+
+  int run() {
+    return run;
+  }
+
+  WorkerAllocation allocation() {
+    return allocation;
+  }
+
+  /** Returns when the worker accepted the run, or 0 if that is unknown. */
+  long startedNs() {
+    return startedNs;
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  /** Returns whether the start of the run was sent, and the worker may not have survived it yet. */
+  boolean isStarting(long nowNs) {
+    return startSent
+        && (startedNs == 0 || nowNs - startedNs <= TimeUnit.MILLISECONDS.toNanos(STARTUP_MS));
+  }
+}
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -70,55 +69,8 @@
     long coordinatorLeaseEndsNs();
   }
 
-  /** A run that is or may be on the worker, with the state of its requests. */
-  static final class Placement {
-    private final TaskProgress task;
-    private final int run;
-    private final WorkerAllocation allocation;
-    private long acknowledgedNs = Long.MAX_VALUE;
-    private boolean acknowledged;
-    private boolean startSent;
-    private boolean unanswered;
-    private boolean stopping;
-    private boolean stopAcknowledged;
-    private long stopSentNs;
-    private long unansweredSinceNs;
-    private long startedNs;
-    private int desiredPercent = FULL_SPEED_PERCENT;
-    private int requestedPercent = FULL_SPEED_PERCENT;
-
-    Placement(TaskProgress task, int run, WorkerAllocation allocation) {
-      this.task = task;
-      this.run = run;
-      this.allocation = allocation;
-    }
-
-    TaskProgress task() {
-      return task;
-    }
-
-    int run() {
-      return run;
-    }
-
-    WorkerAllocation allocation() {
-      return allocation;
-    }
-
-    /** Returns when the worker accepted the run, or 0 if that is unknown. */
-    long startedNs() {
-      return startedNs;
-    }
-
-    boolean isStopping() {
-      return stopping;
-    }
-  }
-
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final int FULL_SPEED_PERCENT = 100;
-
   /** Long-poll time of a report, so that an idle worker costs one call per second. */
   private static final long REPORT_LONG_POLL_MS = 1_000;
 
@@ -148,9 +100,6 @@
    */
   private static final long DRAINING_WORKER_LEASE_MS = 4_000;
 
-  /** A run that its worker has survived for this long is not suspected of crashing it. */
-  static final long STARTUP_MS = 500;
-
   /** Interval of lease renewals while the ends of runs can't be stored. */
   private static final long RENEW_INTERVAL_MS = 1_000;
 
@@ -195,11 +144,7 @@
   /** Whether the crash that calls since the last report have shown is logged. */
   private boolean crashReported;
 
-  /** Runs that were starting when calls began to fail; one of them may have crashed the worker. */
-  private final Set<Placement> crashSuspects = new LinkedHashSet<>();
-
-  /** The latest run whose task has crashed another worker; it starts alone. */
-  private @Nullable Placement isolated;
+  private final CrashSuspects crashSuspects;
 
   private int consecutiveFailures;
   private long incarnationMs = -1;
@@ -208,7 +153,7 @@
   private long leaseEndsNs;
   private long lastEndNumber;
   private long acknowledgedEndNumber;
-  private int bestEffortPercent = FULL_SPEED_PERCENT;
+  private int bestEffortPercent = Placement.FULL_SPEED_PERCENT;
 
   WorkerSession(
       ShardEventLoop loop,
@@ -226,6 +171,7 @@
     this.leaseMs = leaseMs;
     this.leaseEndsNs = firstLeaseEndsNs;
     this.allocation = new WorkerAllocation(descriptor);
+    this.crashSuspects = new CrashSuspects(loop, placements);
   }
 
   WorkerAllocation allocation() {
@@ -264,25 +210,9 @@
         && !allocation.isUnhealthy();
   }
 
-  /**
-   * Returns whether a run may start beside those that are starting now. A task under which a worker
-   * has crashed starts alone, so that another crash shows whether it is the cause.
-   */
+  /** Returns whether a run may start beside those that are starting now. */
   boolean isStartable(TaskProgress task) {
-    if (isolated != null && isCurrent(isolated) && mayBeStarting(isolated)) {
-      return isSameGang(isolated, task);
-    }
-    return task.workerCrashes() == 0
-        || placements.values().stream()
-            .noneMatch(other -> mayBeStarting(other) && !isSameGang(other, task));
-  }
-
-  private boolean mayBeStarting(Placement placement) {
-    return !placement.startSent || isStarting(placement);
-  }
-
-  private static boolean isSameGang(Placement placement, TaskProgress task) {
-    return task.spec().gang() && placement.task.id().stepName().equals(task.id().stepName());
+    return crashSuspects.isStartable(task);
   }
 
   /** Adopts a run that an earlier coordinator placed. */
@@ -300,9 +230,7 @@
     Placement placement = new Placement(task, task.run(), allocation);
     allocation.reserve(task.id(), task.run(), task.spec());
     placements.put(task.id().toString(), placement);
-    if (task.workerCrashes() > 0) {
-      isolated = placement;
-    }
+    crashSuspects.runPlaced(placement);
     return placement;
   }
 
@@ -389,7 +317,7 @@
     placement.startedNs = loop.nowNs();
     listener.onRunStarted(placement);
     if (placement.task.workerCrashes() > 0) {
-      loop.schedule(STARTUP_MS, () -> checkStartSurvived(placement));
+      loop.schedule(Placement.STARTUP_MS, () -> checkStartSurvived(placement));
     }
   }
 
@@ -399,7 +327,7 @@
         && consecutiveFailures == 0
         && placement.startedNs != 0
         && placement.task.workerCrashes() > 0
-        && !isStarting(placement)) {
+        && !placement.isStarting(loop.nowNs())) {
       listener.onStartSurvived(placement);
     }
   }
@@ -555,7 +483,7 @@
     consecutiveFailures++;
     incarnationConfirmed = false;
     if (consecutiveFailures == 1) {
-      addCrashSuspects(Set.of());
+      crashSuspects.suspectStartingRuns(Set.of());
       logger.atInfo().log(
           "worker: %s does not answer, %d runs there, %d of them starting: %s",
           descriptor.id(),
@@ -591,32 +519,17 @@
         });
   }
 
-  /** Returns whether the start of a run was sent, and the worker may not have survived it yet. */
-  private boolean isStarting(Placement placement) {
-    return placement.startSent
-        && (placement.startedNs == 0 || !hasElapsed(placement.startedNs, STARTUP_MS));
-  }
-
-  private void addCrashSuspects(Set<String> stillRunning) {
-    for (Placement placement : placements.values()) {
-      if (isStarting(placement) && !stillRunning.contains(placement.task.id().toString())) {
-        crashSuspects.add(placement);
-      }
-    }
-  }
-
   private void onCrash(String evidence) {
     if (crashReported) {
       return;
     }
     crashReported = true;
+    List<Placement> suspects = crashSuspects.drain();
     logger.atInfo().log(
         "worker: %s has ended, %s; runs that were starting: %s.",
         descriptor.id(),
         evidence,
-        crashSuspects.stream().map(suspect -> suspect.task.id() + " run " + suspect.run).toList());
-    List<Placement> suspects = List.copyOf(crashSuspects);
-    crashSuspects.clear();
+        suspects.stream().map(suspect -> suspect.task.id() + " run " + suspect.run).toList());
     suspects.forEach(listener::onWorkerCrashed);
   }
 
@@ -675,7 +588,7 @@
         "worker: %s has restarted, %d runs were placed there.", descriptor.id(), placements.size());
     if (crashSuspects.isEmpty()) {
       // The restart was so quick that no call failed.
-      addCrashSuspects(
+      crashSuspects.suspectStartingRuns(
           report.running().stream().map(ActiveRun::task).collect(Collectors.toUnmodifiableSet()));
     }
     onCrash("it has restarted");
@@ -777,7 +690,7 @@
 
   private void adjustBestEffortSpeed(List<ActiveRun> rows) {
     if (allocation.bestEffortRuns() == 0 || allocation.latencySensitiveRuns() == 0) {
-      bestEffortPercent = FULL_SPEED_PERCENT;
+      bestEffortPercent = Placement.FULL_SPEED_PERCENT;
       return;
     }
     double worstLoadShare = 0;
@@ -796,7 +709,8 @@
     } else if (worstLoadShare > THROTTLE_ABOVE_SHARE) {
       bestEffortPercent = bestEffortPercent / 2;
     } else if (worstLoadShare < UNTHROTTLE_BELOW_SHARE) {
-      bestEffortPercent = Math.min(FULL_SPEED_PERCENT, bestEffortPercent + SPEED_STEP_PERCENT);
+      bestEffortPercent =
+          Math.min(Placement.FULL_SPEED_PERCENT, bestEffortPercent + SPEED_STEP_PERCENT);
     }
     placements.values().forEach(this::updateSpeed);
   }
@@ -806,7 +720,7 @@
       return;
     }
     placement.desiredPercent =
-        allocation.latencySensitiveRuns() == 0 ? FULL_SPEED_PERCENT : bestEffortPercent;
+        allocation.latencySensitiveRuns() == 0 ? Placement.FULL_SPEED_PERCENT : bestEffortPercent;
     if (placement.desiredPercent == placement.requestedPercent) {
       return;
     }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -31,6 +31,9 @@
   /** High enough that a task avoids workers on which it has failed if any other worker fits. */
   private static final double FAILED_COST = 8;
 
+  /** A task that may crash its worker goes where the fewest runs would be lost with it. */
+  private static final double CRASH_SUSPECT_COST_PER_RUN = 2;
+
   private record RunKey(TaskId task, int run) {}
 
   private final Map<RunKey, StepSpec> reserved = new HashMap<>();
@@ -194,6 +197,9 @@
     if (task.hasFailedOn(descriptor.id())) {
       cost += FAILED_COST;
     }
+    if (task.workerCrashes() > 0) {
+      cost += CRASH_SUSPECT_COST_PER_RUN * runs();
+    }
     return cost;
   }
 }
--- a/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
@@ -110,6 +110,22 @@
     assertThat(remote.cost(task, null)).isLessThan(local.cost(task, null));
   }
 
+  // Guards against losing a full worker's runs to a task that has crashed another worker before.
+  @Test
+  void taskThatMayCrashItsWorkerPrefersTheOneWithFewestRuns() {
+    WorkerAllocation busy = worker("busy", "r1-1");
+    for (int index = 1; index < 4; index++) {
+      TaskProgress other = task(500, index);
+      busy.reserve(other.id(), 1, other.spec());
+    }
+    WorkerAllocation idle = worker("idle", "r1-1");
+    TaskProgress task = task(1_000, 0);
+    assertThat(busy.cost(task, null)).isLessThan(idle.cost(task, null));
+
+    task.recordWorkerCrash(1);
+    assertThat(idle.cost(task, null)).isLessThan(busy.cost(task, null));
+  }
+
   @Test
   void bestEffortAndLatencySensitiveTasksAreSeparated() {
     WorkerAllocation latencySensitive = worker("serving", "r1-1");
