Leave a ledger record that can't be encoded in the way, as before

Correction of the commit that keeps one failing job from stopping others: leaving such a record out would run the callbacks of its batch, which send starts and acknowledge ends, although their record isn't stored; a task could then run twice. Only the isolation of callbacks stays: what they wait for is stored when they run.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LedgerWriter.java
@@ -138,15 +138,10 @@
     var keys = dirty.entrySet().iterator();
     while (keys.hasNext() && bytes < MAX_BATCH_BYTES) {
       var next = keys.next();
-      String key = next.getKey();
-      Supplier<byte[]> content = next.getValue();
+      byte[] content = next.getValue().get();
+      entries.add(new Entry(next.getKey(), content));
+      bytes += content.length + next.getKey().length();
       keys.remove();
-      int index = entries.size();
-      ShardEventLoop.runIsolated(
-          () -> entries.add(new Entry(key, content.get())), "the ledger record of " + key);
-      if (entries.size() > index) {
-        bytes += entries.get(index).value().length + key.length();
-      }
     }
     List<Runnable> callbacks = List.of();
     if (dirty.isEmpty()) {
