Count a crash as confirmed only if its worker had started the run

The start of its first run was on its way to a worker that another task had just crashed; it never arrived, and was counted as the first of two crashes. A run counts as confirmed now if the worker had answered its start or listed it; two confirmed crashes fail the job, or four if it is never known whether the starts arrived. Both kinds make the task start alone. The test failed with every suspicion counted as confirmed.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -33,7 +33,7 @@
 
   /** Notes a run that has just been placed. */
   void runPlaced(Placement placement) {
-    if (placement.task.workerCrashes() > 0) {
+    if (placement.task.suspectedCrashes() > 0) {
       isolated = placement;
     }
   }
@@ -48,7 +48,7 @@
         && mayBeStarting(isolated)) {
       return isSameGang(isolated, task);
     }
-    return task.workerCrashes() == 0
+    return task.suspectedCrashes() == 0
         || placements.values().stream()
             .noneMatch(other -> mayBeStarting(other) && !isSameGang(other, task));
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -565,15 +565,17 @@
     if (job == null || job.progress.state().isFinal()) {
       return;
     }
-    job.progress.recordWorkerCrash(task, placement.run());
+    boolean started = placement.startedNs() != 0;
+    job.progress.recordWorkerCrash(task, placement.run(), started);
     metrics.crashSuspected();
     logger.atInfo().log(
-        "task: %s run %d was starting when its worker %s crashed, %d of %d allowed crashes.",
+        "task: %s run %d %s when its worker %s crashed, %d crashes in a row, %d confirmed.",
         task.id(),
         placement.run(),
+        started ? "was starting" : "may have been starting",
         placement.allocation().descriptor().id(),
-        task.workerCrashes(),
-        JobProgress.MAX_WORKER_CRASHES);
+        task.suspectedCrashes(),
+        task.confirmedCrashes());
     if (job.progress.state() == WorkloadState.FAILED) {
       onJobEnded(job, task.id() + " has crashed its workers");
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -316,7 +316,7 @@
   private void onStarted(Placement placement) {
     placement.startedNs = loop.nowNs();
     listener.onRunStarted(placement);
-    if (placement.task.workerCrashes() > 0) {
+    if (placement.task.suspectedCrashes() > 0) {
       loop.schedule(Placement.STARTUP_MS, () -> checkStartSurvived(placement));
     }
   }
@@ -326,7 +326,7 @@
         && isCurrent(placement)
         && consecutiveFailures == 0
         && placement.startedNs != 0
-        && placement.task.workerCrashes() > 0
+        && placement.task.suspectedCrashes() > 0
         && !placement.isStarting(loop.nowNs())) {
       listener.onStartSurvived(placement);
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
@@ -208,14 +208,15 @@
     List<TaskProgress> crashed =
         steps.stream()
             .flatMap(step -> step.tasks().stream())
-            .filter(task -> task.workerCrashes() > 0)
+            .filter(task -> task.suspectedCrashes() > 0)
             .toList();
     out.packArrayHeader(crashed.size());
     for (TaskProgress task : crashed) {
       out.packInt(task.id().occurrence());
       out.packInt(task.id().step());
       out.packInt(task.id().index());
-      out.packInt(task.workerCrashes());
+      out.packInt(task.suspectedCrashes());
+      out.packInt(task.confirmedCrashes());
     }
   }
 
@@ -295,11 +296,12 @@
       TaskId id =
           new TaskId(job.submission().jobId(), in.unpackInt(), in.unpackInt(), in.unpackInt());
       TaskProgress task = job.task(id);
-      int crashes = in.unpackInt();
+      int suspected = in.unpackInt();
+      int confirmed = in.unpackInt();
       if (task == null) {
         throw new MalformedRecordException("crashes of unknown task " + id, null);
       }
-      task.restoreWorkerCrashes(crashes);
+      task.restoreCrashes(suspected, confirmed);
     }
   }
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -102,6 +102,25 @@
     assertThat(cell.workers.violations()).isEmpty();
   }
 
+  // Guards against giving up a task under which one worker has crashed, since the start of another
+  // run was on its way to a worker that had crashed before.
+  @Test
+  void startThatMayNotHaveArrivedDoesNotUseUpTheAllowedCrashes() {
+    cell.workers.crashOn(task -> cell.workers.startsOf(task) == 1);
+    awaitCoordinator();
+    cell.workers.all().forEach(worker -> worker.setDisconnected(true));
+    cell.submit("h1", "job", step(1, List.of(), false));
+    cell.time.advance(200);
+    for (FakeWorkers.Worker worker : cell.workers.all()) {
+      worker.crash();
+      worker.restart();
+      worker.setDisconnected(false);
+    }
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+    assertThat(cell.workers.crashes()).isEqualTo(1);
+  }
+
   // Guards against counting a lost connection as a crash of the worker.
   @Test
   void networkPartitionsDoNotCountAsCrashes() {
--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -9,8 +9,14 @@
 /** A job and the progress of its tasks. Not thread-safe. */
 public final class JobProgress {
 
-  /** A task is given up once this many workers in a row have crashed while they started it. */
-  public static final int MAX_WORKER_CRASHES = 2;
+  /** A task is given up once this many workers in a row have crashed after they started it. */
+  public static final int MAX_CONFIRMED_CRASHES = 2;
+
+  /**
+   * A task is given up once this many workers in a row have crashed after its start was sent to
+   * them, although none of them may have received it.
+   */
+  public static final int MAX_SUSPECTED_CRASHES = 4;
 
   private final Submission submission;
   private final SortedMap<Integer, List<StepProgress>> occurrences = new TreeMap<>();
@@ -183,18 +189,22 @@
   }
 
   /**
-   * Records that a worker crashed while it was starting a run. The job fails when the task has
+   * Records that a worker crashed while a run was starting there. The job fails when the task has
    * crashed as many workers as are allowed, also if the task is long-running.
    *
    * @param task the task
    * @param run number of the run
+   * @param started whether the worker had started the run; otherwise it may not have received it
    */
-  public void recordWorkerCrash(TaskProgress task, int run) {
+  public void recordWorkerCrash(TaskProgress task, int run, boolean started) {
     if (task.phase() == TaskProgress.Phase.DONE) {
       return;
     }
-    task.recordWorkerCrash(run);
-    if (task.workerCrashes() >= MAX_WORKER_CRASHES && !state.isFinal()) {
+    task.recordWorkerCrash(run, started);
+    boolean exhausted =
+        task.confirmedCrashes() >= MAX_CONFIRMED_CRASHES
+            || task.suspectedCrashes() >= MAX_SUSPECTED_CRASHES;
+    if (exhausted && !state.isFinal()) {
       state = WorkloadState.FAILED;
     }
   }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
@@ -23,7 +23,8 @@
   private Phase phase = Phase.IDLE;
   private int run;
   private int failures;
-  private int workerCrashes;
+  private int suspectedCrashes;
+  private int confirmedCrashes;
   private int lastSurvivedRun;
   private String checkpoint = "";
   private @Nullable String workerId;
@@ -59,11 +60,16 @@
   }
 
   /**
-   * Returns how many workers in a row have crashed while they were starting the task; 0 once a
-   * worker has survived the start.
+   * Returns how many workers in a row have crashed after the start of the task was sent to them; 0
+   * once a worker has survived the start.
    */
-  public int workerCrashes() {
-    return workerCrashes;
+  public int suspectedCrashes() {
+    return suspectedCrashes;
+  }
+
+  /** Returns how many of the suspected crashes came after the worker had started the task. */
+  public int confirmedCrashes() {
+    return confirmedCrashes;
   }
 
   /** Returns the latest checkpoint; empty if there is none. */
@@ -122,22 +128,30 @@
     failedOn.add(worker);
   }
 
-  /** Records that a run's worker crashed while it was starting the run. */
-  void recordWorkerCrash(int crashedRun) {
+  /**
+   * Records that a run's worker crashed while the run was starting.
+   *
+   * @param crashedRun number of the run
+   * @param started whether the worker had started the run
+   */
+  void recordWorkerCrash(int crashedRun, boolean started) {
     if (crashedRun > lastSurvivedRun) {
-      workerCrashes++;
+      suspectedCrashes++;
+      confirmedCrashes += started ? 1 : 0;
     }
   }
 
   /** Records that a run's worker has survived the start of the run. */
   public void recordSurvivedStart(int survivedRun) {
     lastSurvivedRun = Math.max(lastSurvivedRun, survivedRun);
-    workerCrashes = 0;
+    suspectedCrashes = 0;
+    confirmedCrashes = 0;
   }
 
-  /** Restores the number of workers that have crashed in a row from the ledger. */
-  public void restoreWorkerCrashes(int stored) {
-    workerCrashes = stored;
+  /** Restores the numbers of crashes in a row from the ledger. */
+  public void restoreCrashes(int suspected, int confirmed) {
+    suspectedCrashes = suspected;
+    confirmedCrashes = confirmed;
   }
 
   /** Marks the task as succeeded. */
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -197,7 +197,7 @@
     if (task.hasFailedOn(descriptor.id())) {
       cost += FAILED_COST;
     }
-    if (task.workerCrashes() > 0) {
+    if (task.suspectedCrashes() > 0) {
       cost += CRASH_SUSPECT_COST_PER_RUN * runs();
     }
     return cost;
