Correct the test of starts that may not have arrived

Its workers were cut off before the sessions had ever reached them, so that no start was sent. Starts are now delayed while reports are answered; the test fails with every suspicion confirmed and passes as it is. A fake worker whose process ends now closes its connections also while an answer is on its way.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -108,13 +108,14 @@
   void startThatMayNotHaveArrivedDoesNotUseUpTheAllowedCrashes() {
     cell.workers.crashOn(task -> cell.workers.startsOf(task) == 1);
     awaitCoordinator();
-    cell.workers.all().forEach(worker -> worker.setDisconnected(true));
+    cell.time.advance(2_000);
+    cell.workers.all().forEach(worker -> worker.delayStartsAndStops(1));
     cell.submit("h1", "job", step(1, List.of(), false));
     cell.time.advance(200);
     for (FakeWorkers.Worker worker : cell.workers.all()) {
+      worker.delayStartsAndStops(0);
       worker.crash();
       worker.restart();
-      worker.setDisconnected(false);
     }
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -441,8 +441,7 @@
         boolean dropped,
         long endsBefore) {
       if (worker.closed) {
-        future.completeExceptionally(
-            new PlatformException(Type.CONNECTION_CLOSED, worker.id + " closed the connection"));
+        future.completeExceptionally(connectionClosed(worker));
         return;
       }
       boolean waits =
@@ -463,10 +462,16 @@
           () -> {
             if (!worker.disconnected && worker.up && !dropped) {
               future.complete(reply);
+            } else if (worker.closed) {
+              future.completeExceptionally(connectionClosed(worker));
             }
           });
     }
 
+    private static PlatformException connectionClosed(Worker worker) {
+      return new PlatformException(Type.CONNECTION_CLOSED, worker.id + " closed the connection");
+    }
+
     @Override
     public CompletableFuture<WorkerReply> start(
         WorkerDescriptor worker,
