Log what the count of a worker's crash rests on

The lines of a confirmed crash said neither how long the run had been started, nor which failed call showed the crash first and when. Both are added, with two counters: workers that ended with and without starting runs. No change of logic.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.jspecify.annotations.Nullable;
 
@@ -14,6 +15,20 @@
  */
 final class CrashSuspects {
 
+  /** What first showed that a worker may have crashed. */
+  enum Symptom {
+    /** The worker closed its connections or refused new ones. */
+    CONNECTION_CLOSED,
+    /** A call timed out or its response was malformed. */
+    NO_RESPONSE,
+    /** The worker rejected a call as unhealthy. */
+    UNHEALTHY,
+    /** Another worker answered at its address. */
+    REPLACED,
+    /** It reported another start time. */
+    RESTARTED
+  }
+
   private final ShardEventLoop loop;
   private final Map<String, Placement> placements;
   private final Set<Placement> suspects = new LinkedHashSet<>();
@@ -21,6 +36,9 @@
   /** The latest run whose task has been suspected before. */
   private @Nullable Placement isolated;
 
+  private Symptom symptom = Symptom.NO_RESPONSE;
+  private long symptomNs;
+
   /**
    * Creates an empty set of suspects.
    *
@@ -65,9 +83,12 @@
    * Suspects the runs that are starting now, since the worker has stopped answering or has
    * restarted.
    *
+   * @param firstSymptom what shows this
    * @param stillRunning tasks that the worker has reported as running since
    */
-  void suspectStartingRuns(Set<String> stillRunning) {
+  void suspectStartingRuns(Symptom firstSymptom, Set<String> stillRunning) {
+    symptom = firstSymptom;
+    symptomNs = loop.nowNs();
     placements.forEach(
         (task, placement) -> {
           if (placement.isStarting(loop.nowNs()) && !stillRunning.contains(task)) {
@@ -93,6 +114,16 @@
     return drained;
   }
 
+  /** Returns what first showed that the worker may have crashed. */
+  Symptom symptom() {
+    return symptom;
+  }
+
+  /** Returns the time since the first symptom. */
+  long symptomAgeMs() {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - symptomNs);
+  }
+
   boolean isEmpty() {
     return suspects.isEmpty();
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -558,6 +558,11 @@
     }
   }
 
+  @Override
+  public void onWorkerEnded(boolean wasStartingRuns) {
+    metrics.workerEnded(wasStartingRuns);
+  }
+
   @Override
   public void onWorkerCrashed(Placement placement) {
     TaskProgress task = placement.task();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -72,6 +72,11 @@
     registry.counter("runs.crash-suspects").inc();
   }
 
+  /** Counts a worker whose process has ended, by whether runs were starting there. */
+  void workerEnded(boolean wasStartingRuns) {
+    registry.counter(wasStartingRuns ? "workers.ended-starting" : "workers.ended-idle").inc();
+  }
+
   /** Counts a start request. */
   void startSent() {
     registry.counter("starts.sent").inc();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -17,6 +17,7 @@
 import org.hickorymoor.daemon.port.TaskWorkerPort.Report;
 import org.hickorymoor.daemon.port.TaskWorkerPort.StartRequest;
 import org.hickorymoor.daemon.port.TaskWorkerPort.WorkerReply;
+import org.hickorymoor.daemon.shard.CrashSuspects.Symptom;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.TerminationReason;
 import org.hickorymoor.domain.workload.WorkerAllocation;
@@ -47,6 +48,13 @@
     /** A run has ended; the worker retains the end until {@link #runAfterStored} has run. */
     void onRunEnded(Placement placement, TerminationReason how, String checkpoint);
 
+    /**
+     * The worker's process has ended.
+     *
+     * @param wasStartingRuns whether the end may be due to a run that was starting
+     */
+    void onWorkerEnded(boolean wasStartingRuns);
+
     /** The worker crashed while it was starting a run, which may be the cause. */
     void onWorkerCrashed(Placement placement);
 
@@ -285,7 +293,7 @@
       if (failure != null && !failure.mayHaveTakenEffect()) {
         remove(placement);
         crashSuspects.remove(placement);
-        onCallFailed(failure);
+        onCallFailed(symptom(failure), failure.getMessage());
         listener.onRunNotStarted(placement, Outcome.UNAVAILABLE);
         return;
       }
@@ -440,13 +448,13 @@
     if (closed) {
       return;
     }
-    if (report == null
-        || report.outcome() == Outcome.UNAVAILABLE
-        || report.outcome() == Outcome.REPLACED) {
-      onCallFailed(failure);
-      if (report != null
-          && report.outcome() == Outcome.REPLACED
-          && calledAddress.equals(descriptor.address())) {
+    if (report == null) {
+      onCallFailed(symptom(failure), failure == null ? null : failure.getMessage());
+    } else if (report.outcome() == Outcome.UNAVAILABLE) {
+      onCallFailed(Symptom.UNHEALTHY, null);
+    } else if (report.outcome() == Outcome.REPLACED) {
+      onCallFailed(Symptom.REPLACED, null);
+      if (calledAddress.equals(descriptor.address())) {
         onCrash("another worker answers at its address");
         markAllLost("another worker has taken the address of its worker");
       }
@@ -479,22 +487,24 @@
     }
   }
 
-  private void onCallFailed(@Nullable PlatformException failure) {
+  private static Symptom symptom(@Nullable PlatformException failure) {
+    return failure != null
+            && (failure.type() == PlatformException.Type.UNREACHABLE
+                || failure.type() == PlatformException.Type.CONNECTION_CLOSED)
+        ? Symptom.CONNECTION_CLOSED
+        : Symptom.NO_RESPONSE;
+  }
+
+  private void onCallFailed(Symptom symptom, @Nullable String detail) {
     consecutiveFailures++;
     incarnationConfirmed = false;
     if (consecutiveFailures == 1) {
-      crashSuspects.suspectStartingRuns(Set.of());
+      crashSuspects.suspectStartingRuns(symptom, Set.of());
       logger.atInfo().log(
-          "worker: %s does not answer, %d runs there, %d of them starting: %s",
-          descriptor.id(),
-          placements.size(),
-          crashSuspects.size(),
-          failure == null ? "unavailable" : failure.getMessage());
-    }
-    processEnded |=
-        failure != null
-            && (failure.type() == PlatformException.Type.UNREACHABLE
-                || failure.type() == PlatformException.Type.CONNECTION_CLOSED);
+          "worker: %s does not answer (%s), %d runs there, %d of them starting: %s",
+          descriptor.id(), symptom, placements.size(), crashSuspects.size(), detail);
+    }
+    processEnded |= symptom == Symptom.CONNECTION_CLOSED;
     if (hasLeft()) {
       markAllLost("the worker has left");
     }
@@ -526,13 +536,28 @@
     crashReported = true;
     List<Placement> suspects = crashSuspects.drain();
     logger.atInfo().log(
-        "worker: %s has ended, %s; runs that were starting: %s.",
+        "worker: %s has ended%s, %s, first symptom %s %d ms before; runs that were starting: %s.",
         descriptor.id(),
+        descriptor.draining() ? " while draining" : "",
         evidence,
-        suspects.stream().map(suspect -> suspect.task.id() + " run " + suspect.run).toList());
+        crashSuspects.symptom(),
+        crashSuspects.symptomAgeMs(),
+        suspects.stream().map(this::describeSuspect).toList());
+    listener.onWorkerEnded(!suspects.isEmpty());
     suspects.forEach(listener::onWorkerCrashed);
   }
 
+  private String describeSuspect(Placement suspect) {
+    String run = suspect.task.id() + " run " + suspect.run;
+    if (suspect.startedNs == 0) {
+      return run + " without an answer";
+    }
+    long beforeMs =
+        TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - suspect.startedNs)
+            - crashSuspects.symptomAgeMs();
+    return run + " " + beforeMs + " ms before";
+  }
+
   /**
    * Returns whether the worker has left: it said that it would, its entry was removed, and it
    * closed a connection instead of answering, or nothing listens at its address.
@@ -589,6 +614,7 @@
     if (crashSuspects.isEmpty()) {
       // The restart was so quick that no call failed.
       crashSuspects.suspectStartingRuns(
+          Symptom.RESTARTED,
           report.running().stream().map(ActiveRun::task).collect(Collectors.toUnmodifiableSet()));
     }
     onCrash("it has restarted");
