Show that jobs are given up although no task crashed its workers, listed as red

Callers saw jobs as failed of which no task had failed so often. Each hypothesis of the timeline has a test that fails: starts that never arrived add up to a limit, the first failed call is taken for the moment of the crash, and two workers that crash by themselves are taken for the task's work while other workers crash too. The stand-in workers can now reject calls as unhealthy.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -122,6 +122,75 @@
     assertThat(cell.workers.crashes()).isEqualTo(1);
   }
 
+  // Guards against giving up a task because its starts were on their way to workers that had ended.
+  @Test
+  void startsThatDoNotReachTheirWorkersDoNotFailTheJob() {
+    awaitCoordinator();
+    cell.time.advance(2_000);
+    cell.workers.all().forEach(worker -> worker.delayStartsAndStops(1));
+    cell.submit("h1", "job", step(1, List.of(), false));
+    for (int i = 0; i < 2 * MAX_CRASHES; i++) {
+      cell.time.advance(1_500);
+      for (FakeWorkers.Worker worker : cell.workers.all()) {
+        worker.crash();
+        worker.restart();
+      }
+    }
+    assertThat(cell.workers.startsOf("job.0.0.0")).isEqualTo(0);
+    cell.workers.all().forEach(worker -> worker.delayStartsAndStops(0));
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
+
+  // Guards against giving up a task whose runs were over when their workers crashed.
+  @Test
+  void workersThatCrashLongAfterTheStartDoNotFailTheJob() {
+    cell.workers.renameRestarted();
+    cell.workers.durations(() -> 300L);
+    awaitCoordinator();
+    cell.submit("h1", "job", step(1, List.of(), false));
+    for (int i = 0; i < MAX_CRASHES; i++) {
+      assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf("job.0.0.0") != null))
+          .isTrue();
+      cell.time.advance(100);
+      FakeWorkers.Worker worker =
+          cell.workers.get(Objects.requireNonNull(cell.workers.workerOf("job.0.0.0")));
+      worker.setUnhealthy(true);
+      cell.time.advance(1_000);
+      worker.crashAndRestart();
+    }
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
+
+  // Guards against giving up a task that happens to start on workers that crash by themselves.
+  @Test
+  void workersThatCrashByThemselvesDoNotFailTheJob() {
+    cell.workers.renameRestarted();
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    awaitCoordinator();
+    cell.submit("h1", "others", step(60, List.of(), true));
+    cell.time.advance(5_000);
+    for (int i = 0; i < 2; i++) {
+      cell.workers
+          .get(Objects.requireNonNull(cell.workers.workerOf("others.0.0.0")))
+          .crashAndRestart();
+      cell.time.advance(8_000);
+    }
+    cell.workers.durations(() -> 1_000L);
+    cell.submit("h1", "job", step(1, List.of(), false));
+    for (int i = 0; i < 2; i++) {
+      assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf("job.0.0.0") != null))
+          .isTrue();
+      cell.time.advance(100);
+      cell.workers
+          .get(Objects.requireNonNull(cell.workers.workerOf("job.0.0.0")))
+          .crashAndRestart();
+    }
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
+
   // Guards against counting a lost connection as a crash of the worker.
   @Test
   void networkPartitionsDoNotCountAsCrashes() {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedStream;
@@ -40,11 +41,6 @@
   private static final long RESTART_DELAY_MS = 3_300;
   private static final long MAX_LEASE_MS = 6_000;
   private static final int CPU_MILLIS = 16_000;
-  private static final TaskWorkerPort.WorkerReply REPLACED_REPLY =
-      new TaskWorkerPort.WorkerReply(TaskWorkerPort.Outcome.REPLACED, -1);
-  private static final TaskWorkerPort.Report REPLACED_REPORT =
-      new TaskWorkerPort.Report(
-          TaskWorkerPort.Outcome.REPLACED, -1, -1, List.of(), List.of(), false);
   private static final int MEMORY_MB = 64_000;
 
   private static final class Run {
@@ -73,6 +69,7 @@
     private boolean closed;
     private boolean replaced;
     private boolean disconnected;
+    private boolean unhealthy;
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
     private double droppedAnswerShare;
@@ -113,7 +110,7 @@
     }
 
     /** Ends the process; it restarts with no state after some seconds. */
-    private void crashAndRestart() {
+    void crashAndRestart() {
       if (!up) {
         return;
       }
@@ -140,6 +137,11 @@
       disconnected = on;
     }
 
+    /** Makes the worker reject all calls as unhealthy; its runs go on. */
+    void setUnhealthy(boolean on) {
+      unhealthy = on;
+    }
+
     /** Blocks the calls of one host. */
     void block(String host) {
       blockedHosts.add(host);
@@ -375,6 +377,14 @@
         id, id, "pool", "d", "r1-1", Set.of("a"), cpuMillis, MEMORY_MB, 0, draining);
   }
 
+  private static TaskWorkerPort.WorkerReply rejectedCommand(TaskWorkerPort.Outcome outcome) {
+    return new TaskWorkerPort.WorkerReply(outcome, -1);
+  }
+
+  private static TaskWorkerPort.Report rejectedReport(TaskWorkerPort.Outcome outcome) {
+    return new TaskWorkerPort.Report(outcome, -1, -1, List.of(), List.of(), false);
+  }
+
   /** Returns the workers as seen by a host. */
   TaskWorkerPort port(String host) {
     return new Port(host);
@@ -392,7 +402,7 @@
         boolean delayable,
         long waitMs,
         long timeoutMs,
-        T whenReplaced,
+        Function<TaskWorkerPort.Outcome, T> rejection,
         Supplier<T> action) {
       Worker worker = get(descriptor.id());
       CompletableFuture<T> future = new CompletableFuture<>();
@@ -424,7 +434,12 @@
                   });
               return;
             }
-            T reply = worker.replaced ? whenReplaced : action.get();
+            T reply =
+                worker.replaced
+                    ? rejection.apply(TaskWorkerPort.Outcome.REPLACED)
+                    : worker.unhealthy
+                        ? rejection.apply(TaskWorkerPort.Outcome.UNAVAILABLE)
+                        : action.get();
             boolean dropped = time.random().nextDouble() < worker.droppedAnswerShare;
             long endsBefore = worker.lastNumber;
             answer(worker, future, reply, action, waitMs, dropped, endsBefore);
@@ -450,6 +465,7 @@
               && worker.ended.isEmpty()
               && worker.up
               && !worker.replaced
+              && !worker.unhealthy
               && !worker.disconnected;
       if (waits) {
         time.after(
@@ -484,7 +500,7 @@
           true,
           0,
           timeoutMs,
-          REPLACED_REPLY,
+          FakeWorkers::rejectedCommand,
           () -> get(worker.id()).start(request, untilMs, fencingToken));
     }
 
@@ -496,7 +512,7 @@
           true,
           0,
           timeoutMs,
-          REPLACED_REPLY,
+          FakeWorkers::rejectedCommand,
           () -> get(worker.id()).stop(task, run, fencingToken));
     }
 
@@ -524,7 +540,7 @@
           false,
           waitMs,
           timeoutMs,
-          REPLACED_REPORT,
+          FakeWorkers::rejectedReport,
           () -> get(worker.id()).hold(untilMs, seenUpTo, fencingToken));
     }
   }
