Don't give up a task over starts that may not have reached their workers

Callers: a job was shown as failed, though none of its tasks had failed (LOST). Cause: each start without an answer, to a worker that then proved to have ended, counted towards a limit of four, as if the worker had crashed under the run.

Now only a start that certainly arrived counts: the worker accepted it, reported the run, or closed the connection on the request. A task whose workers crash before they answer is still given up (taskThatCrashesWorkersBeforeTheyAnswerIsGivenUp).

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -97,6 +97,13 @@
         });
   }
 
+  /**
+   * Returns whether the start of a suspect certainly reached the worker before the worker crashed.
+   */
+  boolean isConfirmed(Placement suspect) {
+    return suspect.startedNs != 0 || suspect.startCutOff;
+  }
+
   /** Acquits a run that certainly did not start. */
   void remove(Placement placement) {
     suspects.remove(placement);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -564,20 +564,19 @@
   }
 
   @Override
-  public void onWorkerCrashed(Placement placement) {
+  public void onWorkerCrashed(Placement placement, boolean confirmed) {
     TaskProgress task = placement.task();
     Job job = jobs.get(task.id().jobId());
     if (job == null || job.progress.state().isFinal()) {
       return;
     }
-    boolean started = placement.startedNs() != 0;
-    job.progress.recordWorkerCrash(task, placement.run(), started);
+    job.progress.recordWorkerCrash(task, placement.run(), confirmed);
     metrics.crashSuspected();
     logger.atInfo().log(
         "task: %s run %d %s when its worker %s crashed, %d crashes in a row, %d confirmed.",
         task.id(),
         placement.run(),
-        started ? "was starting" : "may have been starting",
+        confirmed ? "was starting" : "may have been starting",
         placement.allocation().descriptor().id(),
         task.suspectedCrashes(),
         task.confirmedCrashes());
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -22,6 +22,10 @@
   boolean acknowledged;
   boolean startSent;
   boolean unanswered;
+
+  /** Whether the worker closed the connection instead of answering the start request. */
+  boolean startCutOff;
+
   boolean stopping;
   boolean stopAcknowledged;
   long stopSentNs;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -55,8 +55,12 @@
      */
     void onWorkerEnded(boolean wasStartingRuns);
 
-    /** The worker crashed while it was starting a run, which may be the cause. */
-    void onWorkerCrashed(Placement placement);
+    /**
+     * The worker crashed while it was starting a run, which may be the cause.
+     *
+     * @param confirmed whether the run was certainly on the worker when it crashed
+     */
+    void onWorkerCrashed(Placement placement, boolean confirmed);
 
     /** The worker has survived the start of a run that was suspected of crashing another. */
     void onStartSurvived(Placement placement);
@@ -298,6 +302,7 @@
         return;
       }
       placement.unanswered = true;
+      placement.startCutOff = symptom(failure) == Symptom.CONNECTION_CLOSED;
       placement.unansweredSinceNs = loop.nowNs();
       requestReportNow();
       return;
@@ -544,7 +549,9 @@
         crashSuspects.symptomAgeMs(),
         suspects.stream().map(this::describeSuspect).toList());
     listener.onWorkerEnded(!suspects.isEmpty());
-    suspects.forEach(listener::onWorkerCrashed);
+    for (Placement suspect : suspects) {
+      listener.onWorkerCrashed(suspect, crashSuspects.isConfirmed(suspect));
+    }
   }
 
   private String describeSuspect(Placement suspect) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -44,6 +44,19 @@
     assertThat(cell.workers.violations()).isEmpty();
   }
 
+  // Guards against a task that crashes one worker after another before any can accept its start.
+  @Test
+  void taskThatCrashesWorkersBeforeTheyAnswerIsGivenUp() {
+    cell.workers.renameRestarted();
+    cell.workers.crashBeforeAnswer();
+    cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
+    awaitCoordinator();
+    cell.submit("h1", "bad", step(1, List.of(), false));
+
+    assertThat(cell.awaitState("h2", "bad", WorkloadState.FAILED, 40_000)).isTrue();
+    assertThat(cell.workers.startsOf("bad.0.0.0")).isAtMost(MAX_CRASHES);
+  }
+
   // Guards against a long-running task that crashes one worker after another without end.
   @Test
   void longRunningTaskThatCrashesEachWorkerIsGivenUp() {
--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -9,15 +9,9 @@
 /** A job and the progress of its tasks. Not thread-safe. */
 public final class JobProgress {
 
-  /** A task is given up once this many workers in a row have crashed after they started it. */
+  /** A task is given up once this many workers in a row have crashed while they started it. */
   public static final int MAX_CONFIRMED_CRASHES = 2;
 
-  /**
-   * A task is given up once this many workers in a row have crashed after its start was sent to
-   * them, although none of them may have received it.
-   */
-  public static final int MAX_SUSPECTED_CRASHES = 4;
-
   private final Submission submission;
   private final SortedMap<Integer, List<StepProgress>> occurrences = new TreeMap<>();
   private WorkloadState state = WorkloadState.QUEUED;
@@ -194,17 +188,15 @@
    *
    * @param task the task
    * @param run number of the run
-   * @param started whether the worker had started the run; otherwise it may not have received it
+   * @param confirmed whether the run was certainly on the worker when it crashed; otherwise the
+   *     crash only makes the task a suspect
    */
-  public void recordWorkerCrash(TaskProgress task, int run, boolean started) {
+  public void recordWorkerCrash(TaskProgress task, int run, boolean confirmed) {
     if (task.phase() == TaskProgress.Phase.DONE) {
       return;
     }
-    task.recordWorkerCrash(run, started);
-    boolean exhausted =
-        task.confirmedCrashes() >= MAX_CONFIRMED_CRASHES
-            || task.suspectedCrashes() >= MAX_SUSPECTED_CRASHES;
-    if (exhausted && !state.isFinal()) {
+    task.recordWorkerCrash(run, confirmed);
+    if (task.confirmedCrashes() >= MAX_CONFIRMED_CRASHES && !state.isFinal()) {
       state = WorkloadState.FAILED;
     }
   }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
@@ -67,7 +67,7 @@
     return suspectedCrashes;
   }
 
-  /** Returns how many of the suspected crashes came after the worker had started the task. */
+  /** Returns in how many of the suspected crashes the task was certainly on the worker. */
   public int confirmedCrashes() {
     return confirmedCrashes;
   }
@@ -132,12 +132,12 @@
    * Records that a run's worker crashed while the run was starting.
    *
    * @param crashedRun number of the run
-   * @param started whether the worker had started the run
+   * @param confirmed whether the run was certainly on the worker when it crashed
    */
-  void recordWorkerCrash(int crashedRun, boolean started) {
+  void recordWorkerCrash(int crashedRun, boolean confirmed) {
     if (crashedRun > lastSurvivedRun) {
       suspectedCrashes++;
-      confirmedCrashes += started ? 1 : 0;
+      confirmedCrashes += confirmed ? 1 : 0;
     }
   }
 
