Count a crash against a task only if its run was there when the worker ended

Callers: a job was shown as failed although its runs were over when their workers crashed. Cause: the first failed call was taken for the moment of the crash. A worker that rejects calls as unhealthy, or doesn't answer in time, may run on for seconds, finish the run, and end later.

A crash is confirmed only if the first symptom shows that the process had ended by then: it closed its connections or refused new ones, another worker answered at its address, or it reported another start time. workersThatCrashLongAfterTheStartDoNotFailTheJob failed before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -18,15 +18,22 @@
   /** What first showed that a worker may have crashed. */
   enum Symptom {
     /** The worker closed its connections or refused new ones. */
-    CONNECTION_CLOSED,
+    CONNECTION_CLOSED(true),
     /** A call timed out or its response was malformed. */
-    NO_RESPONSE,
+    NO_RESPONSE(false),
     /** The worker rejected a call as unhealthy. */
-    UNHEALTHY,
+    UNHEALTHY(false),
     /** Another worker answered at its address. */
-    REPLACED,
+    REPLACED(true),
     /** It reported another start time. */
-    RESTARTED
+    RESTARTED(true);
+
+    /** Whether the process had ended when the symptom showed, not only at some later time. */
+    private final boolean ended;
+
+    Symptom(boolean ended) {
+      this.ended = ended;
+    }
   }
 
   private final ShardEventLoop loop;
@@ -98,10 +105,12 @@
   }
 
   /**
-   * Returns whether the start of a suspect certainly reached the worker before the worker crashed.
+   * Returns whether a suspect was certainly on the worker when the worker's process ended. Starts
+   * that may not have arrived, and runs that may have been over by then, say nothing about the
+   * task.
    */
   boolean isConfirmed(Placement suspect) {
-    return suspect.startedNs != 0 || suspect.startCutOff;
+    return symptom.ended && (suspect.startedNs != 0 || suspect.startCutOff);
   }
 
   /** Acquits a run that certainly did not start. */
