--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -19,6 +19,7 @@
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
 import org.hickorymoor.domain.workload.ApprovalPolicy;
+import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
 import org.hickorymoor.domain.workload.QueuePolicy;
 import org.hickorymoor.domain.workload.StepProgress;
@@ -118,6 +119,7 @@
   private final Map<String, WorkerSession> sessions = new HashMap<>();
   private final ApprovalCache approvals;
   private final Map<String, Long> failingSinceNs = new HashMap<>();
+  private final CrashTolerance crashTolerance = new CrashTolerance();
   private final Map<String, byte[]> progressRecords = new HashMap<>();
   private final List<SubmissionReader> submissionReaders;
   private final EndedSubmissionCleaner submissionCleaner;
@@ -559,27 +561,32 @@
   }
 
   @Override
-  public void onWorkerEnded(boolean wasStartingRuns) {
-    metrics.workerEnded(wasStartingRuns);
+  public void onWorkerCrashed(boolean wasStartingRuns) {
+    metrics.workerCrashed(wasStartingRuns);
+    if (!wasStartingRuns) {
+      crashTolerance.recordUnexplainedCrash(loop.nowNs());
+    }
   }
 
   @Override
-  public void onWorkerCrashed(Placement placement, boolean confirmed) {
+  public void onCrashSuspected(Placement placement, boolean confirmed) {
     TaskProgress task = placement.task();
     Job job = jobs.get(task.id().jobId());
     if (job == null || job.progress.state().isFinal()) {
       return;
     }
-    job.progress.recordWorkerCrash(task, placement.run(), confirmed);
+    int requiredCrashes = crashTolerance.requiredCrashes(loop.nowNs());
+    job.progress.recordWorkerCrash(task, placement.run(), confirmed, requiredCrashes);
     metrics.crashSuspected();
     logger.atInfo().log(
-        "task: %s run %d %s when its worker %s crashed, %d crashes in a row, %d confirmed.",
+        "task: %s run %d %s when its worker %s crashed, %d crashes in a row, %d confirmed of %d.",
         task.id(),
         placement.run(),
         confirmed ? "was starting" : "may have been starting",
         placement.allocation().descriptor().id(),
         task.suspectedCrashes(),
-        task.confirmedCrashes());
+        task.confirmedCrashes(),
+        requiredCrashes);
     if (job.progress.state() == WorkloadState.FAILED) {
       onJobEnded(job, task.id() + " has crashed its workers");
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -72,9 +72,9 @@
     registry.counter("runs.crash-suspects").inc();
   }
 
-  /** Counts a worker whose process has ended, by whether runs were starting there. */
-  void workerEnded(boolean wasStartingRuns) {
-    registry.counter(wasStartingRuns ? "workers.ended-starting" : "workers.ended-idle").inc();
+  /** Counts a worker that has crashed, by whether a run that was starting may be the cause. */
+  void workerCrashed(boolean wasStartingRuns) {
+    registry.counter(wasStartingRuns ? "workers.crashed-starting" : "workers.crashed-idle").inc();
   }
 
   /** Counts a start request. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -49,18 +49,18 @@
     void onRunEnded(Placement placement, TerminationReason how, String checkpoint);
 
     /**
-     * The worker's process has ended.
+     * The worker's process has ended without having announced it.
      *
-     * @param wasStartingRuns whether the end may be due to a run that was starting
+     * @param wasStartingRuns whether a run that was starting may be the cause
      */
-    void onWorkerEnded(boolean wasStartingRuns);
+    void onWorkerCrashed(boolean wasStartingRuns);
 
     /**
-     * The worker crashed while it was starting a run, which may be the cause.
+     * A run that was starting may be the cause of a crash of its worker.
      *
      * @param confirmed whether the run was certainly on the worker when it crashed
      */
-    void onWorkerCrashed(Placement placement, boolean confirmed);
+    void onCrashSuspected(Placement placement, boolean confirmed);
 
     /** The worker has survived the start of a run that was suspected of crashing another. */
     void onStartSurvived(Placement placement);
@@ -548,9 +548,9 @@
         crashSuspects.symptom(),
         crashSuspects.symptomAgeMs(),
         suspects.stream().map(this::describeSuspect).toList());
-    listener.onWorkerEnded(!suspects.isEmpty());
+    listener.onWorkerCrashed(!suspects.isEmpty());
     for (Placement suspect : suspects) {
-      listener.onWorkerCrashed(suspect, crashSuspects.isConfirmed(suspect));
+      listener.onCrashSuspected(suspect, crashSuspects.isConfirmed(suspect));
     }
   }
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
@@ -68,8 +68,8 @@
     TaskProgress failed = job.steps(0).get(1).tasks().get(0);
     failed.place("w2", 1);
     job.recordRunEnd(failed, TerminationReason.FAILED, "");
-    job.recordWorkerCrash(placed, 4, false);
-    job.recordWorkerCrash(placed, 4, true);
+    job.recordWorkerCrash(placed, 4, false, 2);
+    job.recordWorkerCrash(placed, 4, true, 2);
     job.markRunning();
 
     JobProgress restored = new JobProgress(SUBMISSION);
--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -9,9 +9,6 @@
 /** A job and the progress of its tasks. Not thread-safe. */
 public final class JobProgress {
 
-  /** A task is given up once this many workers in a row have crashed while they started it. */
-  public static final int MAX_CONFIRMED_CRASHES = 2;
-
   private final Submission submission;
   private final SortedMap<Integer, List<StepProgress>> occurrences = new TreeMap<>();
   private WorkloadState state = WorkloadState.QUEUED;
@@ -183,20 +180,22 @@
   }
 
   /**
-   * Records that a worker crashed while a run was starting there. The job fails when the task has
-   * crashed as many workers as are allowed, also if the task is long-running.
+   * Records that a worker crashed while a run was starting there. The job fails when enough workers
+   * in a row have crashed under the task, also if the task is long-running.
    *
    * @param task the task
    * @param run number of the run
    * @param confirmed whether the run was certainly on the worker when it crashed; otherwise the
    *     crash only makes the task a suspect
+   * @param requiredCrashes confirmed crashes in a row that show that the task is the cause
    */
-  public void recordWorkerCrash(TaskProgress task, int run, boolean confirmed) {
+  public void recordWorkerCrash(
+      TaskProgress task, int run, boolean confirmed, int requiredCrashes) {
     if (task.phase() == TaskProgress.Phase.DONE) {
       return;
     }
     task.recordWorkerCrash(run, confirmed);
-    if (task.confirmedCrashes() >= MAX_CONFIRMED_CRASHES && !state.isFinal()) {
+    if (task.confirmedCrashes() >= requiredCrashes && !state.isFinal()) {
       state = WorkloadState.FAILED;
     }
   }
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -12,6 +12,8 @@
 
 final class JobProgressTest {
 
+  private static final int REQUIRED_CRASHES = 2;
+
   private static final QueuePolicy POLICY = new QueuePolicy("q", "pool", 0, 2, 2, 100, null);
 
   static StepSpec step(int count, List<Integer> after, boolean gang, boolean longRunning) {
@@ -74,7 +76,7 @@
   void jobFailsWhenWorkersCrashInRowUnderTask() {
     JobProgress job = job(step(1, List.of(), false, true));
     TaskProgress task = task(job, 0, 0);
-    for (int crash = 1; crash <= JobProgress.MAX_CONFIRMED_CRASHES; crash++) {
+    for (int crash = 1; crash <= REQUIRED_CRASHES; crash++) {
       assertThat(job.state()).isEqualTo(WorkloadState.QUEUED);
       crash(job, task, crash, true);
     }
@@ -100,7 +102,7 @@
 
   private static void crash(JobProgress job, TaskProgress task, int run, boolean confirmed) {
     task.place("w", run);
-    job.recordWorkerCrash(task, run, confirmed);
+    job.recordWorkerCrash(task, run, confirmed, REQUIRED_CRASHES);
     job.recordRunEnd(task, TerminationReason.LAPSED, "");
   }
 
@@ -109,11 +111,11 @@
     JobProgress job = job(step(1, List.of(), false, false));
     TaskProgress task = task(job, 0, 0);
     task.place("w", 5);
-    job.recordWorkerCrash(task, 4, true);
+    job.recordWorkerCrash(task, 4, true, REQUIRED_CRASHES);
     assertThat(task.confirmedCrashes()).isEqualTo(1);
 
     task.recordSurvivedStart(5);
-    job.recordWorkerCrash(task, 4, true);
+    job.recordWorkerCrash(task, 4, true, REQUIRED_CRASHES);
 
     assertThat(task.suspectedCrashes()).isEqualTo(0);
     assertThat(task.confirmedCrashes()).isEqualTo(0);
