Don't count a worker that leaves as announced as a crash

Callers: a job could be shown as failed since two workers on which it had just started left in a row and came back under their names. Cause: each end of a process counted as a crash, although the worker had said that it would end.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -548,6 +548,9 @@
         crashSuspects.symptom(),
         crashSuspects.symptomAgeMs(),
         suspects.stream().map(this::describeSuspect).toList());
+    if (descriptor.draining()) {
+      return;
+    }
     listener.onWorkerCrashed(!suspects.isEmpty());
     for (Placement suspect : suspects) {
       listener.onCrashSuspected(suspect, crashSuspects.isConfirmed(suspect));
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -176,6 +176,24 @@
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
   }
 
+  // Guards against giving up a task because the workers that it started on have left as announced.
+  @Test
+  void workersThatLeaveDoNotFailTheJob() {
+    cell.workers.durations(() -> 1_000L);
+    awaitCoordinator();
+    cell.submit("h1", "job", step(1, List.of(), false));
+    for (int i = 0; i < MAX_CRASHES; i++) {
+      assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf("job.0.0.0") != null))
+          .isTrue();
+      cell.time.advance(100);
+      String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+      cell.workers.drain(worker);
+      cell.workers.get(worker).crashAndRestart();
+    }
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
+
   // Guards against giving up a task that happens to start on workers that crash by themselves.
   @Test
   void workersThatCrashByThemselvesDoNotFailTheJob() {
