Weigh crashes by how soon after the start they come

A crash within 100 ms of the start, or one that cuts off the start request, now weighs double. The required weight is two, and up to four while workers crash by themselves; two confirmed crashes are always required.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.jspecify.annotations.Nullable;
 
@@ -36,6 +37,9 @@
     }
   }
 
+  /** A crash within this time of the start is rarely a coincidence. */
+  private static final long IMMEDIATE_CRASH_MS = 100;
+
   private final ShardEventLoop loop;
   private final Map<String, Placement> placements;
   private final Set<Placement> suspects = new LinkedHashSet<>();
@@ -105,12 +109,20 @@
   }
 
   /**
-   * Returns whether a suspect was certainly on the worker when the worker's process ended. Starts
-   * that may not have arrived, and runs that may have been over by then, say nothing about the
+   * Returns how strongly the crash of the worker speaks against a suspect. A start that may not
+   * have arrived, and a run that may have been over when the process ended, say nothing about the
    * task.
    */
-  boolean isConfirmed(Placement suspect) {
-    return symptom.ended && (suspect.startedNs != 0 || suspect.startCutOff);
+  CrashEvidence evidence(Placement suspect) {
+    if (!symptom.ended) {
+      return CrashEvidence.UNCERTAIN;
+    }
+    if (suspect.startedNs == 0) {
+      return suspect.startCutOff ? CrashEvidence.IMMEDIATE : CrashEvidence.UNCERTAIN;
+    }
+    return symptomNs - suspect.startedNs <= TimeUnit.MILLISECONDS.toNanos(IMMEDIATE_CRASH_MS)
+        ? CrashEvidence.IMMEDIATE
+        : CrashEvidence.DURING_STARTUP;
   }
 
   /** Acquits a run that certainly did not start. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -19,6 +19,7 @@
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
 import org.hickorymoor.domain.workload.ApprovalPolicy;
+import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
 import org.hickorymoor.domain.workload.QueuePolicy;
@@ -569,24 +570,25 @@
   }
 
   @Override
-  public void onCrashSuspected(Placement placement, boolean confirmed) {
+  public void onCrashSuspected(Placement placement, CrashEvidence evidence) {
     TaskProgress task = placement.task();
     Job job = jobs.get(task.id().jobId());
     if (job == null || job.progress.state().isFinal()) {
       return;
     }
-    int requiredCrashes = crashTolerance.requiredCrashes(loop.nowNs());
-    job.progress.recordWorkerCrash(task, placement.run(), confirmed, requiredCrashes);
+    job.progress.recordWorkerCrash(task, placement.run(), evidence, crashTolerance, loop.nowNs());
     metrics.crashSuspected();
     logger.atInfo().log(
-        "task: %s run %d %s when its worker %s crashed, %d crashes in a row, %d confirmed of %d.",
+        "task: %s run %d suspected of the crash of its worker %s (%s), %d crashes in a row,"
+            + " %d confirmed, weight %d of %d.",
         task.id(),
         placement.run(),
-        confirmed ? "was starting" : "may have been starting",
         placement.allocation().descriptor().id(),
+        evidence,
         task.suspectedCrashes(),
         task.confirmedCrashes(),
-        requiredCrashes);
+        task.crashWeight(),
+        crashTolerance.requiredWeight(loop.nowNs()));
     if (job.progress.state() == WorkloadState.FAILED) {
       onJobEnded(job, task.id() + " has crashed its workers");
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -18,6 +18,7 @@
 import org.hickorymoor.daemon.port.TaskWorkerPort.StartRequest;
 import org.hickorymoor.daemon.port.TaskWorkerPort.WorkerReply;
 import org.hickorymoor.daemon.shard.CrashSuspects.Symptom;
+import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.TerminationReason;
 import org.hickorymoor.domain.workload.WorkerAllocation;
@@ -58,9 +59,9 @@
     /**
      * A run that was starting may be the cause of a crash of its worker.
      *
-     * @param confirmed whether the run was certainly on the worker when it crashed
+     * @param evidence how strongly the crash speaks against the run
      */
-    void onCrashSuspected(Placement placement, boolean confirmed);
+    void onCrashSuspected(Placement placement, CrashEvidence evidence);
 
     /** The worker has survived the start of a run that was suspected of crashing another. */
     void onStartSurvived(Placement placement);
@@ -553,7 +554,7 @@
     }
     listener.onWorkerCrashed(!suspects.isEmpty());
     for (Placement suspect : suspects) {
-      listener.onCrashSuspected(suspect, crashSuspects.isConfirmed(suspect));
+      listener.onCrashSuspected(suspect, crashSuspects.evidence(suspect));
     }
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
@@ -202,7 +202,7 @@
         });
   }
 
-  /** Writes the crashes after all else; readers of earlier versions ignore what follows. */
+  /** Writes the crashes after all else; readers of earlier versions ignore the lists at the end. */
   private static void writeWorkerCrashes(MessagePacker out, List<StepProgress> steps)
       throws IOException {
     List<TaskProgress> crashed =
@@ -218,6 +218,10 @@
       out.packInt(task.suspectedCrashes());
       out.packInt(task.confirmedCrashes());
     }
+    out.packArrayHeader(crashed.size());
+    for (TaskProgress task : crashed) {
+      out.packInt(task.crashWeight());
+    }
   }
 
   private static void writeStepProgress(MessagePacker out, StepProgress step) throws IOException {
@@ -292,6 +296,7 @@
   private static void restoreWorkerCrashes(JobProgress job, MessageUnpacker in)
       throws IOException, MalformedRecordException {
     int taskCount = in.unpackArrayHeader();
+    List<TaskProgress> crashed = new ArrayList<>();
     for (int i = 0; i < taskCount; i++) {
       TaskId id =
           new TaskId(job.submission().jobId(), in.unpackInt(), in.unpackInt(), in.unpackInt());
@@ -301,7 +306,19 @@
       if (task == null) {
         throw new MalformedRecordException("crashes of unknown task " + id, null);
       }
-      task.restoreCrashes(suspected, confirmed);
+      task.restoreCrashes(suspected, confirmed, confirmed);
+      crashed.add(task);
+    }
+    if (!in.hasNext()) {
+      return;
+    }
+    int weightCount = in.unpackArrayHeader();
+    if (weightCount != taskCount) {
+      throw new MalformedRecordException(
+          "expected weights of " + taskCount + " crashed tasks, got " + weightCount, null);
+    }
+    for (TaskProgress task : crashed) {
+      task.restoreCrashes(task.suspectedCrashes(), task.confirmedCrashes(), in.unpackInt());
     }
   }
 
--- a/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
@@ -5,18 +5,18 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Decides how many workers in a row must crash under a task before the task counts as the cause.
+ * Decides whether the workers that crashed in a row under a task show that the task is the cause.
  *
- * <p>While workers also crash without a run that may be the cause, two crashes under one task may
- * be a coincidence, so more are required. Not thread-safe.
+ * <p>While workers also crash with no run that may be the cause, crashes under a task may be a
+ * coincidence, so that more evidence is required. Not thread-safe.
  */
 public final class CrashTolerance {
 
-  /** Required crashes while no worker crashes by itself. */
+  /** A task is given up only after this many confirmed crashes in a row. */
   public static final int MIN_CRASHES = 2;
 
-  /** Required crashes while many workers crash by themselves. */
-  public static final int MAX_CRASHES = 4;
+  /** Required weight of the evidence while many workers crash by themselves. */
+  public static final int MAX_WEIGHT = 4;
 
   private static final long WINDOW_MS = 20_000;
 
@@ -29,18 +29,22 @@
    */
   public void recordUnexplainedCrash(long nowNs) {
     unexplainedNs.addLast(nowNs);
-    if (unexplainedNs.size() > MAX_CRASHES - MIN_CRASHES) {
+    if (unexplainedNs.size() > MAX_WEIGHT - MIN_CRASHES) {
       unexplainedNs.removeFirst();
     }
   }
 
   /**
-   * Returns after how many confirmed crashes in a row a task is given up.
+   * Returns the weight of evidence that shows that a task is the cause.
    *
    * @param nowNs current time, on the same clock
    */
-  public int requiredCrashes(long nowNs) {
+  public int requiredWeight(long nowNs) {
     unexplainedNs.removeIf(atNs -> nowNs - atNs > TimeUnit.MILLISECONDS.toNanos(WINDOW_MS));
     return MIN_CRASHES + unexplainedNs.size();
   }
+
+  boolean isExhausted(TaskProgress task, long nowNs) {
+    return task.confirmedCrashes() >= MIN_CRASHES && task.crashWeight() >= requiredWeight(nowNs);
+  }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -185,17 +185,17 @@
    *
    * @param task the task
    * @param run number of the run
-   * @param confirmed whether the run was certainly on the worker when it crashed; otherwise the
-   *     crash only makes the task a suspect
-   * @param requiredCrashes confirmed crashes in a row that show that the task is the cause
+   * @param evidence how strongly the crash speaks against the run
+   * @param tolerance decides whether the crashes in a row show that the task is the cause
+   * @param nowNs current time, on a monotonic clock
    */
   public void recordWorkerCrash(
-      TaskProgress task, int run, boolean confirmed, int requiredCrashes) {
+      TaskProgress task, int run, CrashEvidence evidence, CrashTolerance tolerance, long nowNs) {
     if (task.phase() == TaskProgress.Phase.DONE) {
       return;
     }
-    task.recordWorkerCrash(run, confirmed);
-    if (task.confirmedCrashes() >= requiredCrashes && !state.isFinal()) {
+    task.recordWorkerCrash(run, evidence);
+    if (tolerance.isExhausted(task, nowNs) && !state.isFinal()) {
       state = WorkloadState.FAILED;
     }
   }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
@@ -25,6 +25,7 @@
   private int failures;
   private int suspectedCrashes;
   private int confirmedCrashes;
+  private int crashWeight;
   private int lastSurvivedRun;
   private String checkpoint = "";
   private @Nullable String workerId;
@@ -72,6 +73,11 @@
     return confirmedCrashes;
   }
 
+  /** Returns the weight of the evidence of the confirmed crashes. */
+  public int crashWeight() {
+    return crashWeight;
+  }
+
   /** Returns the latest checkpoint; empty if there is none. */
   public String checkpoint() {
     return checkpoint;
@@ -132,12 +138,13 @@
    * Records that a run's worker crashed while the run was starting.
    *
    * @param crashedRun number of the run
-   * @param confirmed whether the run was certainly on the worker when it crashed
+   * @param evidence how strongly the crash speaks against the run
    */
-  void recordWorkerCrash(int crashedRun, boolean confirmed) {
+  void recordWorkerCrash(int crashedRun, CrashEvidence evidence) {
     if (crashedRun > lastSurvivedRun) {
       suspectedCrashes++;
-      confirmedCrashes += confirmed ? 1 : 0;
+      confirmedCrashes += evidence.isConfirmed() ? 1 : 0;
+      crashWeight += evidence.weight();
     }
   }
 
@@ -146,12 +153,14 @@
     lastSurvivedRun = Math.max(lastSurvivedRun, survivedRun);
     suspectedCrashes = 0;
     confirmedCrashes = 0;
+    crashWeight = 0;
   }
 
-  /** Restores the numbers of crashes in a row from the ledger. */
-  public void restoreCrashes(int suspected, int confirmed) {
+  /** Restores the crashes in a row from the ledger. */
+  public void restoreCrashes(int suspected, int confirmed, int weight) {
     suspectedCrashes = suspected;
     confirmedCrashes = confirmed;
+    crashWeight = weight;
   }
 
   /** Marks the task as succeeded. */
