List workers in the order of their records

Cause: WorkerCatalog passed Map.copyOf(listed) to the scheduler. The iteration order of that map depends on a salt that the JVM draws at its start. It decides in which order the workers are called first, and with that every later event. Ruled out: the other maps that decide something are linked or have keys with hash codes of their own; the random nonce of a claim is only compared.

The catalog now keeps and passes linked maps, in the order of the records.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
@@ -1,7 +1,8 @@
 package org.hickorymoor.daemon.shard;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.hickorymoor.daemon.port.KeyedLogPort;
@@ -12,7 +13,11 @@
 import org.hickorymoor.domain.workload.WorkerDescriptor;
 import org.jspecify.annotations.Nullable;
 
-/** Follows the list of workers in the store. Not thread-safe; confined to the event loop thread. */
+/**
+ * Follows the list of workers in the store. The listener receives the workers in the order of their
+ * records, so that a scheduler calls them in the same order each time. Not thread-safe; confined to
+ * the event loop thread.
+ */
 final class WorkerCatalog {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -23,7 +28,7 @@
   private final ShardEventLoop loop;
   private final KeyedLogPort log;
   private final WorkerRecordDecoder decoder;
-  private final Map<String, WorkerDescriptor> listed = new HashMap<>();
+  private final Map<String, WorkerDescriptor> listed = new LinkedHashMap<>();
   private Consumer<Map<String, WorkerDescriptor>> listener = workers -> {};
   private long nextOffset;
   private boolean closed;
@@ -46,7 +51,7 @@
   }
 
   private void load() {
-    Map<String, WorkerDescriptor> loading = new HashMap<>();
+    Map<String, WorkerDescriptor> loading = new LinkedHashMap<>();
     LatestRecordReader.read(
         loop,
         log,
@@ -104,8 +109,9 @@
   }
 
   private void notifyListener() {
-    ShardEventLoop.runIsolated(
-        () -> listener.accept(Map.copyOf(listed)), "a change of the list of workers");
+    Map<String, WorkerDescriptor> snapshot =
+        Collections.unmodifiableMap(new LinkedHashMap<>(listed));
+    ShardEventLoop.runIsolated(() -> listener.accept(snapshot), "a change of the list of workers");
   }
 
   private void apply(Map<String, WorkerDescriptor> workers, StoredRecord stored) {
