Ask an idle worker for the runs that a late submission brings

Cause: a coordinator places an announced job before its submission is stored. Here the submission was stored only after a successor had taken over: the takeover was complete at 40.5 s, the record was read between 44.1 and 44.5 s, when its host first saw the successor. The successor found three runs on w0 in the ledger and adopted them. By then w0 was idle, and the session of an idle worker requests no reports; adopting a run requested none either. So nobody learned that the runs had never started.

Ruled out: the record of the submission (it was read, "added, offset 99"), the ledger and the takeover (its loading was complete).

A session now requests a report when it adopts a run. The request follows in a later task of the loop, so that it is sent after all runs that are adopted together, and its answer counts for all of them.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -215,12 +215,17 @@
     return crashSuspects.isStartable(task);
   }
 
-  /** Adopts a run that an earlier coordinator placed. */
+  /**
+   * Adopts a run that an earlier coordinator placed, and requests a report, which shows whether it
+   * is there.
+   */
   void adopt(TaskProgress task) {
     Placement placement = add(task);
     placement.acknowledgedNs = loop.nowNs();
     placement.acknowledged = true;
     placement.startSent = true;
+    // Later, so that one report covers all runs that are adopted together.
+    loop.execute(this::requestReport);
   }
 
   /**
