Count a run once among the crashes of its worker

A start without an answer stays placed when its worker has restarted, until a report shows that the run isn't there. If the worker restarts again before, the same run was counted a second time: in the test of starts that are cut off, run 1 alone gave "2 crashes in a row, 2 confirmed". Found by that test; JobProgressTest.runIsSuspectedOfOneCrash fails without the change of TaskProgress.

--- a/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
@@ -27,6 +27,7 @@
   private int confirmedCrashes;
   private int crashWeight;
   private int lastSurvivedRun;
+  private int lastCrashedRun;
   private String checkpoint = "";
   private @Nullable String workerId;
 
@@ -141,7 +142,8 @@
    * @param evidence how strongly the crash speaks against the run
    */
   void recordWorkerCrash(int crashedRun, CrashEvidence evidence) {
-    if (crashedRun > lastSurvivedRun) {
+    if (crashedRun > lastSurvivedRun && crashedRun > lastCrashedRun) {
+      lastCrashedRun = crashedRun;
       suspectedCrashes++;
       confirmedCrashes += evidence.isConfirmed() ? 1 : 0;
       crashWeight += evidence.weight();
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -122,6 +122,19 @@
     job.recordRunEnd(task, TerminationReason.LAPSED, "");
   }
 
+  // Guards against counting one run twice because its worker restarts again before it is started.
+  @Test
+  void runIsSuspectedOfOneCrash() {
+    JobProgress job = job(step(1, List.of(), false, false));
+    TaskProgress task = task(job, 0, 0);
+    task.place("w", 1);
+    job.recordWorkerCrash(task, 1, CrashEvidence.DURING_STARTUP, tolerance, 0);
+    job.recordWorkerCrash(task, 1, CrashEvidence.DURING_STARTUP, tolerance, 0);
+
+    assertThat(task.suspectedCrashes()).isEqualTo(1);
+    assertThat(job.state()).isEqualTo(WorkloadState.QUEUED);
+  }
+
   @Test
   void survivedStartClearsCrashesOfEarlierRunsForGood() {
     JobProgress job = job(step(1, List.of(), false, false));
