Don't take a start that was cut off late for one that reached its worker

Cause: a request that is sent while a worker is silent is cut off when the worker comes back, unread.

A cut-off start is evidence only within 100 ms of sending it, and weighs as little as a crash during startup. startsCutOffWhenTheirWorkersComeBackDoNotFailTheJob failed before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -37,9 +37,6 @@
     }
   }
 
-  /** A crash within this time of the start is rarely a coincidence. */
-  private static final long IMMEDIATE_CRASH_MS = 100;
-
   private final ShardEventLoop loop;
   private final Map<String, Placement> placements;
   private final Set<Placement> suspects = new LinkedHashSet<>();
@@ -118,9 +115,10 @@
       return CrashEvidence.UNCERTAIN;
     }
     if (suspect.startedNs == 0) {
-      return suspect.startCutOff ? CrashEvidence.IMMEDIATE : CrashEvidence.UNCERTAIN;
+      return suspect.startCutOff ? CrashEvidence.DURING_STARTUP : CrashEvidence.UNCERTAIN;
     }
-    return symptomNs - suspect.startedNs <= TimeUnit.MILLISECONDS.toNanos(IMMEDIATE_CRASH_MS)
+    return symptomNs - suspect.startedNs
+            <= TimeUnit.MILLISECONDS.toNanos(Placement.IMMEDIATE_CRASH_MS)
         ? CrashEvidence.IMMEDIATE
         : CrashEvidence.DURING_STARTUP;
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -15,6 +15,9 @@
   /** A run that its worker has survived for this long is not suspected of crashing it. */
   static final long STARTUP_MS = 500;
 
+  /** A crash within this time of the start is rarely a coincidence. */
+  static final long IMMEDIATE_CRASH_MS = 100;
+
   final TaskProgress task;
   final int run;
   final WorkerAllocation allocation;
@@ -23,7 +26,12 @@
   boolean startSent;
   boolean unanswered;
 
-  /** Whether the worker closed the connection instead of answering the start request. */
+  long startSentNs;
+
+  /**
+   * Whether the worker closed the connection at once when it got the start request. A worker that
+   * was silent before closes it late, and may not have read the request.
+   */
   boolean startCutOff;
 
   boolean stopping;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -286,6 +286,7 @@
     }
     extendLease(untilMs);
     placement.startSent = true;
+    placement.startSentNs = loop.nowNs();
     StartRequest request =
         new StartRequest(task.id().toString(), placement.run, payload, task.checkpoint(), ticket);
     loop.then(
@@ -308,7 +309,9 @@
         return;
       }
       placement.unanswered = true;
-      placement.startCutOff = symptom(failure) == Symptom.CONNECTION_CLOSED;
+      placement.startCutOff =
+          symptom(failure) == Symptom.CONNECTION_CLOSED
+              && !hasElapsed(placement.startSentNs, Placement.IMMEDIATE_CRASH_MS);
       placement.unansweredSinceNs = loop.nowNs();
       requestReportNow();
       return;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -155,6 +155,27 @@
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
   }
 
+  // Guards against taking starts that were sent to silent workers, and cut off when these came
+  // back, for the cause of their silence.
+  @Test
+  void startsCutOffWhenTheirWorkersComeBackDoNotFailTheJob() {
+    cell.workers.cutOffUnanswered();
+    awaitCoordinator();
+    cell.time.advance(2_000);
+    cell.workers.all().forEach(FakeWorkers.Worker::crash);
+    cell.submit("h1", "job", step(1, List.of(), false));
+    for (int i = 0; i < 2 * MAX_CRASHES; i++) {
+      cell.time.advance(300);
+      cell.workers.all().forEach(FakeWorkers.Worker::restart);
+      cell.time.advance(12);
+      cell.workers.all().forEach(FakeWorkers.Worker::crash);
+    }
+    assertThat(cell.workers.startsOf("job.0.0.0")).isEqualTo(0);
+    cell.workers.all().forEach(FakeWorkers.Worker::restart);
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
+
   // Guards against giving up a task whose runs were over when their workers crashed.
   @Test
   void workersThatCrashLongAfterTheStartDoNotFailTheJob() {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -69,6 +69,7 @@
     private boolean replaced;
     private boolean disconnected;
     private boolean unhealthy;
+    private final List<Runnable> unanswered = new ArrayList<>();
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
     private double droppedAnswerShare;
@@ -94,6 +95,9 @@
     void restart() {
       up = true;
       incarnation++;
+      List<Runnable> cutOff = List.copyOf(unanswered);
+      unanswered.clear();
+      cutOff.forEach(call -> time.after(LINK_LATENCY_MS, call));
     }
 
     /** Ends the process: its runs end and its address refuses connections. */
@@ -276,6 +280,7 @@
   private Predicate<String> crashesWorker = task -> false;
   private long crashDelayMs = 10;
   private boolean renamesRestarted;
+  private boolean cutsOffUnanswered;
   private int starts;
   private int crashes;
   private boolean checkFencingToken = true;
@@ -336,6 +341,11 @@
     crashDelayMs = 0;
   }
 
+  /** Makes workers that restart close the connections of calls that came meanwhile. */
+  void cutOffUnanswered() {
+    cutsOffUnanswered = true;
+  }
+
   /** Makes workers that have crashed come back at the same address under another ID. */
   void renameRestarted() {
     renamesRestarted = true;
@@ -424,7 +434,13 @@
                   new PlatformException(Type.UNREACHABLE, worker.id + " refuses connections"));
               return;
             }
-            if (worker.disconnected || !worker.up || worker.blockedHosts.contains(host)) {
+            if (worker.disconnected || worker.blockedHosts.contains(host)) {
+              return;
+            }
+            if (!worker.up) {
+              if (cutsOffUnanswered) {
+                worker.unanswered.add(() -> future.completeExceptionally(connectionClosed(worker)));
+              }
               return;
             }
             if (delayable && time.random().nextDouble() < worker.delayedRequestShare) {
