Require five starts that are cut off in a row before a task is given up

Cause: a partition that resets connections, or a worker that has just ended, closes it at once without having read the request.

Such a start is no longer confirmed. It adds one to the weight, and a task with fewer than two confirmed crashes is given up at a weight of five: a task that crashes its workers before they answer is started five times, which is within what is allowed after three crashes.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -115,7 +115,7 @@
       return CrashEvidence.UNCERTAIN;
     }
     if (suspect.startedNs == 0) {
-      return suspect.startCutOff ? CrashEvidence.DURING_STARTUP : CrashEvidence.UNCERTAIN;
+      return suspect.startCutOff ? CrashEvidence.START_CUT_OFF : CrashEvidence.UNCERTAIN;
     }
     return symptomNs - suspect.startedNs
             <= TimeUnit.MILLISECONDS.toNanos(Placement.IMMEDIATE_CRASH_MS)
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -69,6 +69,7 @@
     private boolean replaced;
     private boolean disconnected;
     private boolean unhealthy;
+    private boolean resetsConnections;
     private final List<Runnable> unanswered = new ArrayList<>();
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
@@ -145,6 +146,11 @@
       unhealthy = on;
     }
 
+    /** Makes the network reset each connection, so that no call reaches the worker. */
+    void resetConnections(boolean on) {
+      resetsConnections = on;
+    }
+
     /** Blocks the calls of one host. */
     void block(String host) {
       blockedHosts.add(host);
@@ -434,6 +440,10 @@
                   new PlatformException(Type.UNREACHABLE, worker.id + " refuses connections"));
               return;
             }
+            if (worker.resetsConnections) {
+              future.completeExceptionally(connectionClosed(worker));
+              return;
+            }
             if (worker.disconnected || worker.blockedHosts.contains(host)) {
               return;
             }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/CrashEvidence.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/CrashEvidence.java
@@ -3,21 +3,25 @@
 /** How strongly the crash of a worker speaks against a run that was starting there. */
 public enum CrashEvidence {
   /** The run may not have been on the worker when it crashed. */
-  UNCERTAIN(0),
+  UNCERTAIN(false, 0),
+  /** The connection closed on the start request, which the worker may not have read. */
+  START_CUT_OFF(false, 1),
   /** The worker crashed during the startup of the run. */
-  DURING_STARTUP(1),
+  DURING_STARTUP(true, 1),
   /** The worker crashed at once when it started the run, which is rarely a coincidence. */
-  IMMEDIATE(2);
+  IMMEDIATE(true, 2);
 
+  private final boolean confirmed;
   private final int weight;
 
-  CrashEvidence(int weight) {
+  CrashEvidence(boolean confirmed, int weight) {
+    this.confirmed = confirmed;
     this.weight = weight;
   }
 
   /** Returns whether the run was certainly on the worker when it crashed. */
   public boolean isConfirmed() {
-    return weight > 0;
+    return confirmed;
   }
 
   /** Returns what the crash adds to the evidence against the task. */
--- a/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
@@ -12,9 +12,12 @@
  */
 public final class CrashTolerance {
 
-  /** A task is given up only after this many confirmed crashes in a row. */
+  /** Confirmed crashes in a row after which a task may be given up. */
   public static final int MIN_CRASHES = 2;
 
+  /** Required weight of the evidence if fewer crashes are confirmed. */
+  public static final int UNCONFIRMED_WEIGHT = 5;
+
   /** Required weight of the evidence while many workers crash by themselves. */
   public static final int MAX_WEIGHT = 4;
 
@@ -35,7 +38,8 @@
   }
 
   /**
-   * Returns the weight of evidence that shows that a task is the cause.
+   * Returns the weight of evidence, with enough confirmed crashes, that shows that a task is the
+   * cause.
    *
    * @param nowNs current time, on the same clock
    */
@@ -45,6 +49,8 @@
   }
 
   boolean isExhausted(TaskProgress task, long nowNs) {
-    return task.confirmedCrashes() >= MIN_CRASHES && task.crashWeight() >= requiredWeight(nowNs);
+    int required =
+        task.confirmedCrashes() >= MIN_CRASHES ? requiredWeight(nowNs) : UNCONFIRMED_WEIGHT;
+    return task.crashWeight() >= required;
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/TaskProgress.java
@@ -74,7 +74,7 @@
     return confirmedCrashes;
   }
 
-  /** Returns the weight of the evidence of the confirmed crashes. */
+  /** Returns the weight of the evidence of the suspected crashes. */
   public int crashWeight() {
     return crashWeight;
   }
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -91,6 +91,12 @@
     assertThat(crashesUntilFailed(CrashEvidence.IMMEDIATE)).isEqualTo(2);
   }
 
+  // Guards against a task that crashes one worker after another before any can accept its start.
+  @Test
+  void startsThatAreCutOffInRowFailTheJob() {
+    assertThat(crashesUntilFailed(CrashEvidence.START_CUT_OFF)).isEqualTo(5);
+  }
+
   private int crashesUntilFailed(CrashEvidence evidence) {
     JobProgress job = job(step(1, List.of(), false, false));
     int crashes = 0;
