Call a worker again that is listed or has runs after its calls have failed

What callers saw: a worker whose entry lapsed while it was cut off got no runs for the rest of the coordinator's term after it had come back under the same ID. If it was the only one of its service, accepted jobs stayed queued. Found while looking for the class of the stuck job: sessions that nothing wakes.

Cause: once its runs were lost, the session of an unlisted worker stopped calling it, with its count of failed calls left above zero. When the worker was listed again, the same session was used; it requested no report while calls failed, since a retry was supposed to be due, but none was. Runs that a late submission brought to such a session stayed there as well, and their job stayed queued.

Whether a retry is due is already known: reportInFlight is set while a request is out and while the wait after a failed call lasts. A session that is asked for a report now sends the request unless that flag is set, also after failed calls, as long as the worker is listed or has runs. Otherwise it stays silent as before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -128,7 +128,10 @@
   private boolean listed = true;
   private boolean synced;
   private boolean closed;
+
+  /** Whether a report is requested, or will be after the wait that follows a failed call. */
   private boolean reportInFlight;
+
   private boolean awaitingStore;
 
   /**
@@ -385,17 +388,19 @@
   }
 
   /**
-   * Requests the next report unless a request is in flight, ends wait to be stored or calls fail.
+   * Requests the next report unless a request is in flight or due after a failed call, ends wait to
+   * be stored, or nothing is expected of the worker.
    */
   void requestReport() {
-    if (closed || reportInFlight || awaitingStore || consecutiveFailures > 0) {
+    if (closed || reportInFlight || awaitingStore || (consecutiveFailures > 0 && !retriesCalls())) {
       return;
     }
-    if (synced && placements.isEmpty() && acknowledgedEndNumber == lastEndNumber) {
+    boolean upToDate = synced && consecutiveFailures == 0 && acknowledgedEndNumber == lastEndNumber;
+    if (upToDate && placements.isEmpty()) {
       incarnationConfirmed = false;
       return;
     }
-    sendReportRequest(synced && acknowledgedEndNumber == lastEndNumber ? REPORT_LONG_POLL_MS : 0);
+    sendReportRequest(upToDate ? REPORT_LONG_POLL_MS : 0);
   }
 
   /**
@@ -518,12 +523,17 @@
           if (loop.nowNs() - leaseEndsNs > 0) {
             markAllLost("its lease has expired and the worker does not answer");
           }
-          if (listed || !placements.isEmpty()) {
+          if (retriesCalls()) {
             sendReportRequest(0);
           }
         });
   }
 
+  /** Returns whether calls to the worker are repeated after they have failed. */
+  private boolean retriesCalls() {
+    return listed || !placements.isEmpty();
+  }
+
   private void onCrash(String evidence) {
     if (crashReported) {
       return;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LateSubmissionTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LateSubmissionTest.java
@@ -17,7 +17,7 @@
 final class LateSubmissionTest {
 
   private static final long SEED = 11;
-  private static final int WORKERS = 4;
+  private static final int WORKERS = 1;
   private static final byte[] SUBMISSION =
       WorkloadCodec.encode(
           new Submission(
@@ -71,4 +71,24 @@
     assertThat(cell.workers.starts()).isEqualTo(4);
     assertThat(cell.workers.violations()).isEmpty();
   }
+
+  // Guards against an accepted job that waits for a worker that nobody calls any more.
+  @Test
+  void runsAdoptedOnWorkerThatWasGivenUpStartElsewhere() {
+    final String successor = awaitSuccessorOfCoordinatorThatPlacedJob();
+    cell.workers.durations(() -> Long.MAX_VALUE);
+    cell.submit(successor, "busy", step(1, List.of(), false));
+    cell.time.advanceUntil(2_000, () -> cell.workers.running().contains("busy.0.0.0"));
+    cell.workers.durations(() -> 500L);
+    cell.workers.get("w0").crash();
+    cell.workers.list("w0", false);
+    cell.time.advance(20_000);
+
+    storeSubmission();
+    cell.time.advance(2_000);
+    cell.workers.add("w1");
+
+    assertThat(cell.awaitState(successor, "job", WorkloadState.COMPLETED, 20_000)).isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
 }
