Follow the list of workers past a record that can't be decoded

What callers saw: after one odd entry the coordinator did not notice workers that came or left, until another host took over; one that met the entry in its first load started no task at all.

Cause: an unexpected exception of the decoder left the handler of the read before the next read was scheduled, in the first load and in the poll.

The decoder's error is typed now, and the list treats any exception of it like a record that describes no usable worker: the others hold and the next read follows. The list names such a record once, with the reason in 400 characters, until it describes a worker again; before, the decoder named it at each write.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/WorkerRecordDecoder.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/WorkerRecordDecoder.java
@@ -1,7 +1,6 @@
 package org.hickorymoor.daemon.port;
 
 import org.hickorymoor.domain.workload.WorkerDescriptor;
-import org.jspecify.annotations.Nullable;
 
 /** Decodes the records that workers store about themselves. */
 @FunctionalInterface
@@ -12,7 +11,8 @@
    *
    * @param workerId ID of the worker
    * @param value the record
-   * @return the worker, or null if the record does not describe a usable worker
+   * @return the worker
+   * @throws PlatformException if the record does not describe a usable worker
    */
-  @Nullable WorkerDescriptor decode(String workerId, byte[] value);
+  WorkerDescriptor decode(String workerId, byte[] value) throws PlatformException;
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
@@ -1,8 +1,11 @@
 package org.hickorymoor.daemon.shard;
 
+import com.google.common.base.Ascii;
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.StoredRecord;
@@ -20,10 +23,16 @@
   /** Well below the time within which a draining worker must stop receiving new runs. */
   private static final long POLL_INTERVAL_MS = 500;
 
+  private static final int MAX_REASON_LENGTH = 400;
+
   private final ShardEventLoop loop;
   private final KeyedLogPort log;
   private final WorkerRecordDecoder decoder;
   private final Map<String, WorkerDescriptor> listed = new HashMap<>();
+
+  /** Keys of the records that describe no usable worker; each is named once in the log. */
+  private final Set<String> unusable = new HashSet<>();
+
   private Consumer<Map<String, WorkerDescriptor>> listener = workers -> {};
   private long nextOffset;
   private boolean closed;
@@ -47,6 +56,7 @@
 
   private void load() {
     Map<String, WorkerDescriptor> loading = new HashMap<>();
+    unusable.clear();
     LatestRecordReader.read(
         loop,
         log,
@@ -109,8 +119,7 @@
   }
 
   private void apply(Map<String, WorkerDescriptor> workers, StoredRecord stored) {
-    WorkerDescriptor descriptor =
-        stored.isTombstone() ? null : decoder.decode(stored.key(), stored.value());
+    WorkerDescriptor descriptor = decode(stored);
     WorkerDescriptor previous =
         descriptor == null ? workers.remove(stored.key()) : workers.put(stored.key(), descriptor);
     if (descriptor == null && previous != null) {
@@ -128,6 +137,29 @@
     }
   }
 
+  /**
+   * Returns the worker that a record describes, or null if it describes no usable worker. Others
+   * may write records here, and one of them must not keep later ones from being read.
+   */
+  private @Nullable WorkerDescriptor decode(StoredRecord stored) {
+    if (stored.isTombstone()) {
+      unusable.remove(stored.key());
+      return null;
+    }
+    try {
+      WorkerDescriptor descriptor = decoder.decode(stored.key(), stored.value());
+      unusable.remove(stored.key());
+      return descriptor;
+    } catch (PlatformException | RuntimeException e) {
+      if (unusable.add(stored.key())) {
+        logger.atInfo().log(
+            "workers: Ignoring record %s, which describes no usable worker, offset %d: %s.",
+            stored.key(), stored.offset(), Ascii.truncate(e.toString(), MAX_REASON_LENGTH, "..."));
+      }
+      return null;
+    }
+  }
+
   private void trackStoreState(@Nullable PlatformException failure) {
     if (storeUnavailable != (failure != null)) {
       storeUnavailable = failure != null;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -367,7 +367,7 @@
     return starts;
   }
 
-  static @Nullable WorkerDescriptor decode(String id, byte[] value) {
+  static WorkerDescriptor decode(String id, byte[] value) {
     String[] fields = new String(value, UTF_8).split(" ");
     boolean draining = fields[0].equals("draining");
     int cpuMillis = fields.length > 1 ? Integer.parseInt(fields[1]) : CPU_MILLIS;
