--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Addresses.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Addresses.java
@@ -5,7 +5,10 @@
 import java.net.InetSocketAddress;
 
 /** Parses and formats {@code ip:port}. Accepts no host names, so no call blocks on a DNS lookup. */
-final class Addresses {
+public final class Addresses {
+
+  /** Precedes the network interface in an IPv6 address, which only its own host knows. */
+  private static final char ZONE_SEPARATOR = '%';
 
   private Addresses() {}
 
@@ -24,6 +27,20 @@
     return new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort());
   }
 
+  /**
+   * Returns whether an address can be called: an {@code ip:port} without a zone whose port is not
+   * 0.
+   *
+   * @param address the address
+   */
+  public static boolean isCallable(String address) {
+    try {
+      return parse(address).getPort() > 0 && address.indexOf(ZONE_SEPARATOR) < 0;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   static String format(InetSocketAddress address) {
     String ip = InetAddresses.toAddrString(address.getAddress());
     return HostAndPort.fromParts(ip, address.getPort()).toString();
