Read every list to its end past a record that can't be handled

What callers saw: nothing yet; a takeover would not have completed.

Cause: LatestRecordReader called the handler of a record without a guard, so that one exception ended the reading before the last page or the completion. The class is the one of the list of workers; the ledger and the submissions are read by the same reader.

Evidence: LatestRecordReaderTest failed before with the exception of the handler. Such a record is logged and skipped now.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LatestRecordReader.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LatestRecordReader.java
@@ -70,7 +70,12 @@
       endOffset = page.endOffset();
     }
     List<StoredRecord> records = page.records();
-    records.forEach(handler::onRecord);
+    for (StoredRecord stored : records) {
+      // A record that can't be handled must not keep later ones from being read.
+      ShardEventLoop.runIsolated(
+          () -> handler.onRecord(stored),
+          "record " + stored.key() + " of " + stream + " at offset " + stored.offset());
+    }
     if (page.hasMore() && !records.isEmpty()) {
       fetchPage(records.get(records.size() - 1).key());
     } else {
