Bound what a malformed response of the platform costs

What callers saw: nothing yet; a response of the store with an absurd record length would have ended the process, which exits when its memory is exhausted, and error messages repeated responses of up to 8 MB in the log.

Cause: the length of a record was allocated before it was compared with the size of the response, and failures of calls repeat the body, the fields or the address.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
@@ -1,5 +1,7 @@
 package org.hickorymoor.daemon.port;
 
+import com.google.common.base.Ascii;
+
 /**
  * Thrown when a call to the platform fails.
  *
@@ -42,16 +44,18 @@
     TRIMMED
   }
 
+  private static final int MAX_LENGTH = 400;
+
   private final Type type;
 
   /**
    * Creates an exception.
    *
    * @param type kind of failure
-   * @param message the failed call, its target and the result
+   * @param message the failed call, its target and the result; shortened if it is long
    */
   public PlatformException(Type type, String message) {
-    super(message);
+    super(Ascii.truncate(message, MAX_LENGTH, "..."));
     this.type = type;
   }
 
