Ignore a coordinator's record whose epoch leaves no room for a claim

What callers saw: nothing yet; after a record with epoch 2^63 - 1 and the death of the coordinator no host could have taken over, since the epoch of a claim overflowed.

Cause: any epoch of 64 bits was taken from the record.

Evidence: OddRecordTest with that record found no coordinator within 20 s of simulated time after the kill (run from a scratch copy of the test, before the change). The other odd records of the test, in the ledger, the hosts, the submissions and the coordinator's stream, did no harm before.

Epochs outside 1 to 2^62 are malformed; claims rise by at most 2^30.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorRecord.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorRecord.java
@@ -24,6 +24,9 @@
   /** Writer of the records; shared by all hosts, so that a newer epoch fences older ones. */
   static final String WRITER = "coordinator";
 
+  /** Far above the epochs of claims; a claim above a record's epoch must not overflow. */
+  private static final long MAX_EPOCH = 1L << 62;
+
   private static final int FIELDS = 5;
   private static final String LEAVING = "leaving";
   private static final String ACTIVE = "active";
@@ -45,8 +48,12 @@
     }
     int separator = fields[4].indexOf(TIME_SEPARATOR);
     try {
+      long epoch = Long.parseLong(fields[0]);
+      if (epoch < 1 || epoch > MAX_EPOCH) {
+        return null;
+      }
       return new CoordinatorRecord(
-          Long.parseLong(fields[0]),
+          epoch,
           fields[1],
           fields[2],
           fields[3],
