Show that jobs are given up over workers that were cut off and crashed later

Fails: the job is FAILED after two crashes (DURING_STARTUP, weight 2 of 2), though its runs were over when the workers' processes ended. A closed or refused connection is taken for the end of the process; a link that resets or refuses connections looks the same. The stand-in workers can now refuse calls while their runs go on, cut off requests on their way, hang, and stay away for longer.

--- /dev/null
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -0,0 +1,46 @@
+package org.hickorymoor.daemon.shard;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.hickorymoor.daemon.shard.SimulatedCell.step;
+
+import java.util.List;
+import java.util.Objects;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.junit.jupiter.api.Test;
+
+/** Crashes of workers that say nothing about a task, and tasks whose crashes are hard to see. */
+final class CrashEvidenceTest {
+
+  private static final long SEED = 7;
+
+  private final SimulatedCell cell = new SimulatedCell(SEED, 3, 8);
+
+  private String awaitCoordinator() {
+    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
+    return Objects.requireNonNull(cell.coordinator());
+  }
+
+  private FakeWorkers.Worker awaitRun(String task) {
+    assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf(task) != null)).isTrue();
+    return cell.workers.get(Objects.requireNonNull(cell.workers.workerOf(task)));
+  }
+
+  // Guards against giving up a task whose runs were over when their workers, cut off before, ended.
+  @Test
+  void workersThatAreCutOffAndCrashLaterDoNotFailTheJob() {
+    cell.workers.renameRestarted();
+    cell.workers.durations(() -> 300L);
+    awaitCoordinator();
+    cell.submit("h1", "job", step(1, List.of(), false));
+    for (int i = 0; i < 3; i++) {
+      FakeWorkers.Worker worker = awaitRun("job.0.0.0");
+      cell.time.advance(100);
+      worker.setRefusing(true);
+      cell.time.advance(1_000);
+      assertThat(cell.workers.workerOf("job.0.0.0")).isNull();
+      worker.crashAndRestart();
+    }
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
+}
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -37,8 +37,11 @@
   private static final boolean TRACE = Boolean.getBoolean("shard.trace");
 
   private static final long LINK_LATENCY_MS = 3;
-  private static final long RESTART_DELAY_MS = 3_300;
   private static final long MAX_LEASE_MS = 6_000;
+
+  /** How long the entry of a worker that has crashed stays in the list. */
+  private static final long ENTRY_TTL_MS = 5_000;
+
   private static final int CPU_MILLIS = 16_000;
   private static final int MEMORY_MB = 64_000;
 
@@ -71,6 +74,7 @@
     private boolean unhealthy;
     private boolean resetsConnections;
     private final List<Runnable> unanswered = new ArrayList<>();
+    private boolean hung;
     private final Set<String> blockedHosts = new HashSet<>();
     private double delayedRequestShare;
     private double droppedAnswerShare;
@@ -82,6 +86,7 @@
     /** Ends all runs without reporting their ends. */
     void crash() {
       up = false;
+      hung = false;
       running.keySet().forEach(task -> workersByRunningTask.remove(task));
       running.clear();
       ended.clear();
@@ -122,8 +127,11 @@
       crash();
       left = true;
       closed = true;
+      if (renamesRestarted && restartDelayMs > ENTRY_TTL_MS) {
+        time.after(ENTRY_TTL_MS, () -> list(id, false));
+      }
       time.after(
-          RESTART_DELAY_MS,
+          restartDelayMs,
           () -> {
             left = false;
             closed = false;
@@ -136,6 +144,12 @@
           });
     }
 
+    /** Cuts off open calls and refuses new ones; the runs go on. */
+    void setRefusing(boolean on) {
+      left = on;
+      closed = on;
+    }
+
     /** Blocks all calls in both directions. */
     void setDisconnected(boolean on) {
       disconnected = on;
@@ -219,6 +233,7 @@
       running.put(request.task(), run);
       startsByTask.merge(request.task(), 1, Integer::sum);
       if (crashesWorker.test(request.task())) {
+        hung = hangsBeforeCrash;
         time.after(crashDelayMs, this::crashAndRestart);
       }
       long tookMs = durationMs.get();
@@ -285,6 +300,9 @@
   private final Map<String, Integer> startsByTask = new HashMap<>();
   private Predicate<String> crashesWorker = task -> false;
   private long crashDelayMs = 10;
+  private long restartDelayMs = 3_300;
+  private boolean hangsBeforeCrash;
+  private Predicate<String> endsBeforeStartOf = task -> false;
   private boolean renamesRestarted;
   private boolean cutsOffUnanswered;
   private int starts;
@@ -352,6 +370,24 @@
     cutsOffUnanswered = true;
   }
 
+  /** Makes workers answer nothing from the start of the task that crashes them until the crash. */
+  void hangBeforeCrash(long hangMs) {
+    hangsBeforeCrash = true;
+    crashDelayMs = hangMs;
+  }
+
+  /**
+   * Makes workers crash while the start request of one of the given tasks is on its way to them.
+   */
+  void crashBeforeStartOf(Predicate<String> tasks) {
+    endsBeforeStartOf = tasks;
+  }
+
+  /** Sets how long a worker that has crashed is away. */
+  void restartDelay(long ms) {
+    restartDelayMs = ms;
+  }
+
   /** Makes workers that have crashed come back at the same address under another ID. */
   void renameRestarted() {
     renamesRestarted = true;
@@ -427,6 +463,7 @@
         Supplier<T> action) {
       Worker worker = get(descriptor.id());
       CompletableFuture<T> future = new CompletableFuture<>();
+      final boolean hasConnection = !worker.left;
       time.after(
           timeoutMs,
           () ->
@@ -437,7 +474,10 @@
           () -> {
             if (worker.left) {
               future.completeExceptionally(
-                  new PlatformException(Type.UNREACHABLE, worker.id + " refuses connections"));
+                  hasConnection
+                      ? connectionClosed(worker)
+                      : new PlatformException(
+                          Type.UNREACHABLE, worker.id + " refuses connections"));
               return;
             }
             if (worker.resetsConnections) {
@@ -453,6 +493,10 @@
               }
               return;
             }
+            if (worker.hung) {
+              awaitClose(worker, future);
+              return;
+            }
             if (delayable && time.random().nextDouble() < worker.delayedRequestShare) {
               long receivedInIncarnation = worker.incarnation;
               time.after(
@@ -478,6 +522,14 @@
       return future;
     }
 
+    private <T> void awaitClose(Worker worker, CompletableFuture<T> future) {
+      if (worker.closed) {
+        future.completeExceptionally(connectionClosed(worker));
+      } else {
+        time.after(1, () -> awaitClose(worker, future));
+      }
+    }
+
     private <T> void answer(
         Worker worker,
         CompletableFuture<T> future,
@@ -490,6 +542,10 @@
         future.completeExceptionally(connectionClosed(worker));
         return;
       }
+      if (worker.hung) {
+        awaitClose(worker, future);
+        return;
+      }
       boolean waits =
           waitMs > 0
               && worker.lastNumber == endsBefore
@@ -526,6 +582,9 @@
         long untilMs,
         long fencingToken,
         long timeoutMs) {
+      if (endsBeforeStartOf.test(request.task())) {
+        time.after(1, () -> get(worker.id()).crashAndRestart());
+      }
       return call(
           worker,
           true,
