--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hickorymoor.domain.workload.WorkloadState;
 import org.junit.jupiter.api.Test;
 
@@ -43,4 +44,16 @@
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
   }
+
+  // Guards against giving up a task because its starts were on connections that a crash cut off.
+  @Test
+  void startsThatAreCutOffOnTheirWayDoNotFailTheJob() {
+    AtomicInteger crashes = new AtomicInteger();
+    cell.workers.crashBeforeStartOf(task -> crashes.incrementAndGet() <= 3);
+    awaitCoordinator();
+    cell.submit("h1", "job", step(1, List.of(), false));
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 40_000)).isTrue();
+    assertThat(cell.workers.startsOf("job.0.0.0")).isEqualTo(1);
+  }
 }
