Show that a run is blamed for a restart that came before it

Fails: the job is FAILED after one crash under it and one run that was done: its worker had restarted while it was idle, which the first report after the start shows (RESTARTED, IMMEDIATE).

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -56,4 +56,27 @@
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 40_000)).isTrue();
     assertThat(cell.workers.startsOf("job.0.0.0")).isEqualTo(1);
   }
+
+  // Guards against giving up a task whose run has succeeded on a worker that restarted before it.
+  @Test
+  void runThatEndsOnWorkerRestartedWhileIdleIsNotBlamedForTheRestart() {
+    awaitCoordinator();
+    cell.time.advance(2_000);
+    cell.submit("h1", "job", step(1, List.of(), false));
+    FakeWorkers.Worker crashed = awaitRun("job.0.0.0");
+    final String crashedId = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
+    cell.time.advance(50);
+    crashed.crashAndRestart();
+    cell.workers.durations(() -> 50L);
+    for (FakeWorkers.Worker worker : cell.workers.all()) {
+      if (worker != crashed) {
+        worker.crash();
+        worker.restart();
+      }
+    }
+    cell.time.advance(3_400);
+    cell.workers.list(crashedId, false);
+
+    assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
+  }
 }
