Show that adopted runs are blamed as if they had just started

Fails: a run that its new coordinator has just adopted, two seconds after its start, counts as started at the first report, and a crash then as IMMEDIATE; with one more crash the job is FAILED.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -79,4 +79,26 @@
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
   }
+
+  // Guards against blaming a run that a new coordinator has adopted as if it had just started.
+  @Test
+  void adoptedRunIsNotBlamedAsIfItHadJustStarted() {
+    cell.workers.renameRestarted();
+    cell.workers.durations(() -> 10_000L);
+    final String coordinator = awaitCoordinator();
+    cell.submit(coordinator, "job", step(1, List.of(), false));
+    final FakeWorkers.Worker worker = awaitRun("job.0.0.0");
+    cell.time.advance(2_000);
+    cell.kill(coordinator);
+    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
+    cell.time.advance(50);
+    assertThat(cell.workers.workerOf("job.0.0.0")).isNotNull();
+    worker.crashAndRestart();
+    FakeWorkers.Worker next = awaitRun("job.0.0.0");
+    cell.time.advance(50);
+    next.crashAndRestart();
+
+    String asked = Objects.requireNonNull(cell.coordinator());
+    assertThat(cell.awaitState(asked, "job", WorkloadState.COMPLETED, 40_000)).isTrue();
+  }
 }
