Show that a task whose workers hang before they crash has no limit

The start is unanswered after 350 ms, the worker crashes at 400 ms, and each crash stays UNCERTAIN. Before four suspected crashes were the limit.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -14,6 +14,9 @@
 
   private static final long SEED = 7;
 
+  /** A task that crashes its workers is started at most this often. */
+  private static final int MAX_STARTS = 5;
+
   private final SimulatedCell cell = new SimulatedCell(SEED, 3, 8);
 
   private String awaitCoordinator() {
@@ -101,4 +104,18 @@
     String asked = Objects.requireNonNull(cell.coordinator());
     assertThat(cell.awaitState(asked, "job", WorkloadState.COMPLETED, 40_000)).isTrue();
   }
+
+  // Guards against a task without a limit whose workers hang at its start and then crash.
+  @Test
+  void taskWhoseWorkersHangBeforeTheyCrashIsGivenUp() {
+    cell.workers.renameRestarted();
+    cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
+    cell.workers.hangBeforeCrash(400);
+    awaitCoordinator();
+    cell.submit("h1", "bad", step(1, List.of(), false));
+    cell.time.advance(80_000);
+
+    assertThat(cell.workers.startsOf("bad.0.0.0")).isAtLeast(2);
+    assertThat(cell.workers.startsOf("bad.0.0.0")).isAtMost(MAX_STARTS);
+  }
 }
