Show that a task whose workers stay away for long has no limit

Fails: 11 starts in 80 s where five are allowed. The session of a worker whose entry is removed is dropped when its lease ends, so that a successor at its address after 12 s proves nothing any more.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -118,4 +118,18 @@
     assertThat(cell.workers.startsOf("bad.0.0.0")).isAtLeast(2);
     assertThat(cell.workers.startsOf("bad.0.0.0")).isAtMost(MAX_STARTS);
   }
+
+  // Guards against a task without a limit whose workers come back only after their leases.
+  @Test
+  void taskWhoseWorkersStayAwayForLongIsGivenUp() {
+    cell.workers.renameRestarted();
+    cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
+    cell.workers.restartDelay(12_000);
+    awaitCoordinator();
+    cell.submit("h1", "bad", step(1, List.of(), false));
+    cell.time.advance(80_000);
+
+    assertThat(cell.workers.startsOf("bad.0.0.0")).isAtLeast(2);
+    assertThat(cell.workers.startsOf("bad.0.0.0")).isAtMost(MAX_STARTS);
+  }
 }
