Show that a suspected task waits for ever under a steady load

Fails: a long-running task under which one worker has crashed isn't started again in 16 s, though no worker uses more than a quarter of its capacity: on each of them some other run is always starting.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hickorymoor.domain.workload.StepSpec;
 import org.hickorymoor.domain.workload.WorkloadState;
 import org.junit.jupiter.api.Test;
 
@@ -83,6 +84,36 @@
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
   }
 
+  // Guards against a suspected task that waits for as long as short tasks start on each worker.
+  @Test
+  void suspectedTaskStartsAlthoughOtherTasksStartOnEachWorkerAllTheTime() {
+    cell.workers.crashOn(
+        task -> task.equals("suspect.0.0.0") && cell.workers.startsOf("suspect.0.0.0") == 1);
+    cell.workers.durations(() -> 600L);
+    awaitCoordinator();
+    cell.time.advance(2_000);
+    cell.submit("h1", "suspect", step(1, List.of(), true));
+    awaitRun("suspect.0.0.0");
+    final String crashed = Objects.requireNonNull(cell.workers.workerOf("suspect.0.0.0"));
+    cell.time.advance(1_000);
+    for (int i = 0; i < 100; i++) {
+      if (i == 12) {
+        cell.workers.list(crashed, false);
+      }
+      cell.submit("h1", "other" + i, onEachWorker());
+      cell.time.advance(200);
+    }
+
+    assertThat(cell.workers.crashes()).isEqualTo(1);
+    assertThat(cell.workers.startsOf("suspect.0.0.0")).isAtLeast(2);
+  }
+
+  private static StepSpec onEachWorker() {
+    return new StepSpec(
+        7, 1_000, 500, 0, 100, List.of(), false, false, false, null, null, 1, false, false, "", 0,
+        false, 0);
+  }
+
   // Guards against blaming a run that a new coordinator has adopted as if it had just started.
   @Test
   void adoptedRunIsNotBlamedAsIfItHadJustStarted() {
