Show that a crash without evidence gives up a task over earlier ones

Fails: two crashes during startup while workers crash by themselves don't fail the job; an UNCERTAIN one a minute later does, since the limit has sunk in the meantime.

--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -122,6 +123,24 @@
     assertThat(job.state()).isEqualTo(WorkloadState.FAILED);
   }
 
+  // Guards against a crash without evidence that gives up a task over earlier, weaker evidence.
+  @Test
+  void unconfirmedCrashDoesNotFailTheJobAfterUnexplainedCrashesAreForgotten() {
+    tolerance.recordUnexplainedCrash(0);
+    tolerance.recordUnexplainedCrash(0);
+    JobProgress job = job(step(1, List.of(), false, true));
+    TaskProgress task = task(job, 0, 0);
+    crash(job, task, 1, CrashEvidence.DURING_STARTUP);
+    crash(job, task, 2, CrashEvidence.DURING_STARTUP);
+    assertThat(job.state()).isEqualTo(WorkloadState.QUEUED);
+
+    task.place("w", 3);
+    long laterNs = TimeUnit.MINUTES.toNanos(1);
+    job.recordWorkerCrash(task, 3, CrashEvidence.UNCERTAIN, tolerance, laterNs);
+
+    assertThat(job.state()).isEqualTo(WorkloadState.QUEUED);
+  }
+
   private void crash(JobProgress job, TaskProgress task, int run, CrashEvidence evidence) {
     task.place("w", run);
     job.recordWorkerCrash(task, run, evidence, tolerance, 0);
