Fail a job over crashes only at a crash that is confirmed

Callers: a job could be shown as failed at a crash that says nothing about its task, since earlier crashes sufficed for a limit that had sunk meanwhile, or that a new coordinator doesn't know. The limit is now applied only when evidence is added. unconfirmedCrashDoesNotFailTheJobAfterUnexplainedCrashesAreForgotten failed before.

--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -195,7 +195,7 @@
       return;
     }
     task.recordWorkerCrash(run, evidence);
-    if (tolerance.isExhausted(task, nowNs) && !state.isFinal()) {
+    if (evidence.isConfirmed() && tolerance.isExhausted(task, nowNs) && !state.isFinal()) {
       state = WorkloadState.FAILED;
     }
   }
