Don't blame a run for a restart that came before it

Callers: a job could be shown as failed although its run was done, after a single crash. A worker that restarts while it is idle isn't called; the first report after the next start shows the restart, and a run that has ended by then is missing from the list of running ones. It counted as the cause. Ends in that report are of the new process too. runThatEndsOnWorkerRestartedWhileIdleIsNotBlamedForTheRestart failed before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -92,14 +92,14 @@
    * restarted.
    *
    * @param firstSymptom what shows this
-   * @param stillRunning tasks that the worker has reported as running since
+   * @param reported tasks of which the worker has reported a run since
    */
-  void suspectStartingRuns(Symptom firstSymptom, Set<String> stillRunning) {
+  void suspectStartingRuns(Symptom firstSymptom, Set<String> reported) {
     symptom = firstSymptom;
     symptomNs = loop.nowNs();
     placements.forEach(
         (task, placement) -> {
-          if (placement.isStarting(loop.nowNs()) && !stillRunning.contains(task)) {
+          if (placement.isStarting(loop.nowNs()) && !reported.contains(task)) {
             suspects.add(placement);
           }
         });
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.ActiveRun;
@@ -644,7 +645,10 @@
       // The restart was so quick that no call failed.
       crashSuspects.suspectStartingRuns(
           Symptom.RESTARTED,
-          report.running().stream().map(ActiveRun::task).collect(Collectors.toUnmodifiableSet()));
+          Stream.concat(
+                  report.running().stream().map(ActiveRun::task),
+                  report.ended().stream().map(EndedRun::task))
+              .collect(Collectors.toUnmodifiableSet()));
     }
     onCrash("it has restarted");
     lastEndNumber = 0;
