Don't blame an adopted run as if it had just started

A new coordinator takes the first report of a run for its start, so that a crash within 100 ms of that weighed double. The time of its start is unknown; the run stays a suspect, without evidence. adoptedRunIsNotBlamedAsIfItHadJustStarted failed before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -107,11 +107,11 @@
 
   /**
    * Returns how strongly the crash of the worker speaks against a suspect. A start that may not
-   * have arrived, and a run that may have been over when the process ended, say nothing about the
-   * task.
+   * have arrived, a run that may have been over when the process ended, and an adopted run, which
+   * may have started long before, say nothing about the task.
    */
   CrashEvidence evidence(Placement suspect) {
-    if (!symptom.ended) {
+    if (!symptom.ended || suspect.adopted) {
       return CrashEvidence.UNCERTAIN;
     }
     if (suspect.startedNs == 0) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -39,6 +39,10 @@
   long stopSentNs;
   long unansweredSinceNs;
   long startedNs;
+
+  /** Whether an earlier coordinator sent the start request, so that its time is unknown. */
+  boolean adopted;
+
   int desiredPercent = FULL_SPEED_PERCENT;
   int requestedPercent = FULL_SPEED_PERCENT;
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -241,6 +241,7 @@
     placement.acknowledgedNs = loop.nowNs();
     placement.acknowledged = true;
     placement.startSent = true;
+    placement.adopted = true;
     // Later, so that one report covers all runs that are adopted together.
     loop.execute(this::requestReport);
   }
