Keep a worker free for a suspected task that would wait for ever

Callers: a long-running job under which one worker had crashed wasn't started again for as long as short tasks kept starting on every worker, however much room there was. A suspected task starts only where nothing else is starting, but nothing kept others from starting there first.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -37,6 +37,9 @@
     }
   }
 
+  /** Covers the startup of the runs that are there and the next placement pass. */
+  private static final long HOLD_MS = 2 * Placement.STARTUP_MS;
+
   private final ShardEventLoop loop;
   private final Map<String, Placement> placements;
   private final Set<Placement> suspects = new LinkedHashSet<>();
@@ -44,6 +47,11 @@
   /** The latest run whose task has been suspected before. */
   private @Nullable Placement isolated;
 
+  /** The suspected task that waits until nothing else is starting here. */
+  private @Nullable TaskProgress awaited;
+
+  private long awaitedUntilNs;
+
   private Symptom symptom = Symptom.NO_RESPONSE;
   private long symptomNs;
 
@@ -59,6 +67,9 @@
 
   /** Notes a run that has just been placed. */
   void runPlaced(Placement placement) {
+    if (placement.task == awaited) {
+      awaited = null;
+    }
     if (placement.task.suspectedCrashes() > 0) {
       isolated = placement;
     }
@@ -69,6 +80,9 @@
    * has crashed starts alone, so that another crash shows whether it is the cause.
    */
   boolean isStartable(TaskProgress task) {
+    if (isHeld() && awaited != task) {
+      return false;
+    }
     if (isolated != null
         && placements.get(isolated.task.id().toString()) == isolated
         && mayBeStarting(isolated)) {
@@ -79,6 +93,22 @@
             .noneMatch(other -> mayBeStarting(other) && !isSameGang(other, task));
   }
 
+  /** Lets nothing else start for a while, so that a suspected task can start alone. */
+  void holdFor(TaskProgress task) {
+    awaited = task;
+    awaitedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(HOLD_MS);
+  }
+
+  /** Returns whether nothing but the given task may start. */
+  boolean isHeldFor(TaskProgress task) {
+    return isHeld() && awaited == task;
+  }
+
+  /** Returns whether nothing but one suspected task may start. */
+  boolean isHeld() {
+    return awaited != null && loop.nowNs() - awaitedUntilNs < 0;
+  }
+
   private boolean mayBeStarting(Placement placement) {
     return !placement.startSent || placement.isStarting(loop.nowNs());
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
@@ -848,6 +849,7 @@
       }
       WorkerSession best = chooseWorker(job, task, eligible, null);
       if (best == null) {
+        holdWorker(job, task, eligible);
         return false;
       }
       place(job, task, best, task.run() + 1);
@@ -879,8 +881,30 @@
     return true;
   }
 
+  /** Keeps a worker free of other starts for a suspected task that can start alone on none. */
+  private static void holdWorker(Job job, TaskProgress task, List<WorkerSession> eligible) {
+    if (task.suspectedCrashes() == 0
+        || eligible.stream().anyMatch(session -> session.crashSuspects().isHeldFor(task))) {
+      return;
+    }
+    WorkerSession best =
+        chooseWorker(job, task, eligible, null, session -> !session.crashSuspects().isHeld());
+    if (best != null) {
+      best.crashSuspects().holdFor(task);
+    }
+  }
+
   private static @Nullable WorkerSession chooseWorker(
       Job job, TaskProgress task, List<WorkerSession> eligible, @Nullable String gangRack) {
+    return chooseWorker(job, task, eligible, gangRack, session -> session.isStartable(task));
+  }
+
+  private static @Nullable WorkerSession chooseWorker(
+      Job job,
+      TaskProgress task,
+      List<WorkerSession> eligible,
+      @Nullable String gangRack,
+      Predicate<WorkerSession> isUsable) {
     boolean urgent = job.progress.submission().policy().priority() == 0;
     WorkerSession best = null;
     double bestCost = Double.MAX_VALUE;
@@ -890,7 +914,7 @@
           urgent
               ? 0
               : (int) Math.round(allocation.descriptor().cpuMillis() * URGENT_HEADROOM_SHARE);
-      if (!allocation.fits(task, keepFree) || !session.isStartable(task)) {
+      if (!allocation.fits(task, keepFree) || !isUsable.test(session)) {
         continue;
       }
       double cost = allocation.cost(task, gangRack);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -232,6 +232,11 @@
     return crashSuspects.isStartable(task);
   }
 
+  /** Returns what is known of runs that may crash the worker. */
+  CrashSuspects crashSuspects() {
+    return crashSuspects;
+  }
+
   /**
    * Adopts a run that an earlier coordinator placed, and requests a report, which shows whether it
    * is there.
