Start a suspected task only on a worker that has just answered

A suspected task is now started after a report that the worker answers at once. If the worker then proves to have ended without having answered anything since, the crash adds one to the weight, without being confirmed; four in a row fail the job, which is five starts.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -141,11 +141,11 @@
    * may have started long before, say nothing about the task.
    */
   CrashEvidence evidence(Placement suspect) {
-    if (!symptom.ended || suspect.adopted) {
-      return CrashEvidence.UNCERTAIN;
+    if (suspect.startedNs == 0 && suspect.silentSinceStart) {
+      return CrashEvidence.START_UNANSWERED;
     }
-    if (suspect.startedNs == 0) {
-      return suspect.startCutOff ? CrashEvidence.START_CUT_OFF : CrashEvidence.UNCERTAIN;
+    if (suspect.startedNs == 0 || !symptom.ended || suspect.adopted) {
+      return CrashEvidence.UNCERTAIN;
     }
     return symptomNs - suspect.startedNs
             <= TimeUnit.MILLISECONDS.toNanos(Placement.IMMEDIATE_CRASH_MS)
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -28,11 +28,8 @@
 
   long startSentNs;
 
-  /**
-   * Whether the worker closed the connection at once when it got the start request. A worker that
-   * was silent before closes it late, and may not have read the request.
-   */
-  boolean startCutOff;
+  /** Whether the worker has answered right before the start request was sent, and not after. */
+  boolean silentSinceStart;
 
   boolean stopping;
   boolean stopAcknowledged;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -287,6 +287,32 @@
    * Sends the start request of a run; without a lease to grant, the run is reported as not started.
    */
   void start(Placement placement, String payload, @Nullable String ticket) {
+    if (placement.task.suspectedCrashes() == 0) {
+      sendStart(placement, payload, ticket);
+      return;
+    }
+    // A suspected task starts only on a worker that has just answered, so that silence after the
+    // start is evidence.
+    long sentNs = loop.nowNs();
+    String address = descriptor.address();
+    loop.then(
+        port.renewLease(descriptor, 0, 0, fencingToken, 0, START_TIMEOUT_MS),
+        (report, failure) -> {
+          onReportAnswered(report, failure, sentNs, address);
+          if (closed || !isCurrent(placement)) {
+            return;
+          }
+          if (consecutiveFailures > 0 || placement.stopping) {
+            remove(placement);
+            listener.onRunNotStarted(placement, Outcome.UNAVAILABLE);
+            return;
+          }
+          placement.silentSinceStart = true;
+          sendStart(placement, payload, ticket);
+        });
+  }
+
+  private void sendStart(Placement placement, String payload, @Nullable String ticket) {
     long untilMs = newLeaseEndMs();
     final TaskProgress task = placement.task;
     if (untilMs == 0) {
@@ -319,9 +345,6 @@
         return;
       }
       placement.unanswered = true;
-      placement.startCutOff =
-          symptom(failure) == Symptom.CONNECTION_CLOSED
-              && !hasElapsed(placement.startSentNs, Placement.IMMEDIATE_CRASH_MS);
       placement.unansweredSinceNs = loop.nowNs();
       requestReportNow();
       return;
@@ -627,6 +650,9 @@
       incarnationMs = report.startedAtMs();
     }
     crashSuspects.clear();
+    for (Placement placement : placements.values()) {
+      placement.silentSinceStart &= placement.startSentNs - sentNs > 0;
+    }
     synced = true;
     Set<String> present = onRunningRuns(report.running());
     onEndedRuns(report.ended());
--- a/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
@@ -16,7 +16,7 @@
   public static final int MIN_CRASHES = 2;
 
   /** Required weight of the evidence if fewer crashes are confirmed. */
-  public static final int UNCONFIRMED_WEIGHT = 5;
+  public static final int UNCONFIRMED_WEIGHT = 4;
 
   /** Required weight of the evidence while many workers crash by themselves. */
   public static final int MAX_WEIGHT = 4;
--- a/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/JobProgress.java
@@ -195,7 +195,7 @@
       return;
     }
     task.recordWorkerCrash(run, evidence);
-    if (evidence.isConfirmed() && tolerance.isExhausted(task, nowNs) && !state.isFinal()) {
+    if (evidence.weight() > 0 && tolerance.isExhausted(task, nowNs) && !state.isFinal()) {
       state = WorkloadState.FAILED;
     }
   }
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -94,8 +94,8 @@
 
   // Guards against a task that crashes one worker after another before any can accept its start.
   @Test
-  void startsThatAreCutOffInRowFailTheJob() {
-    assertThat(crashesUntilFailed(CrashEvidence.START_CUT_OFF)).isEqualTo(5);
+  void unansweredStartsInRowFailTheJob() {
+    assertThat(crashesUntilFailed(CrashEvidence.START_UNANSWERED)).isEqualTo(4);
   }
 
   private int crashesUntilFailed(CrashEvidence evidence) {
