Count the crash of a worker that stays away until its lease has expired

The session of such a worker is dropped, so that nothing shows the end of its process. A worker that refuses connections and whose entry was removed when its lease has expired now counts as crashed. taskWhoseWorkersStayAwayForLongIsGivenUp failed before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -570,6 +570,9 @@
             return;
           }
           if (loop.nowNs() - leaseEndsNs > 0) {
+            if (!listed && processEnded) {
+              onCrash("it refuses connections and its entry was removed");
+            }
             markAllLost("its lease has expired and the worker does not answer");
           }
           if (retriesCalls()) {
