Take absence for a crash only while connections are refused, and as weak evidence

The latest call now has to show the end of the process, for this proof and for a draining worker that has left, and the crash weighs one, without being confirmed. A suspect's start is also checked against the worker's capacity after the report that precedes it, since the capacity may have shrunk meanwhile. Both found by reading; taskWhoseWorkersStayAwayForLongIsGivenUp and the tests of workers that leave pass as before.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -139,14 +139,19 @@
    * Returns how strongly the crash of the worker speaks against a suspect. A start that may not
    * have arrived, a run that may have been over when the process ended, and an adopted run, which
    * may have started long before, say nothing about the task.
+   *
+   * @param certain whether the worker's process has certainly ended
    */
-  CrashEvidence evidence(Placement suspect) {
+  CrashEvidence evidence(Placement suspect, boolean certain) {
     if (suspect.startedNs == 0 && suspect.silentSinceStart) {
-      return CrashEvidence.START_UNANSWERED;
+      return CrashEvidence.LIKELY;
     }
     if (suspect.startedNs == 0 || !symptom.ended || suspect.adopted) {
       return CrashEvidence.UNCERTAIN;
     }
+    if (!certain) {
+      return CrashEvidence.LIKELY;
+    }
     return symptomNs - suspect.startedNs
             <= TimeUnit.MILLISECONDS.toNanos(Placement.IMMEDIATE_CRASH_MS)
         ? CrashEvidence.IMMEDIATE
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -155,7 +155,7 @@
    */
   private boolean incarnationConfirmed;
 
-  /** Whether calls since the last report show that the worker's process has ended. */
+  /** Whether the latest call shows that the worker's process has ended. */
   private boolean processEnded;
 
   /** Whether the crash that calls since the last report have shown is logged. */
@@ -302,7 +302,7 @@
           if (closed || !isCurrent(placement)) {
             return;
           }
-          if (consecutiveFailures > 0 || placement.stopping) {
+          if (consecutiveFailures > 0 || placement.stopping || allocation.isOverCommitted()) {
             remove(placement);
             listener.onRunNotStarted(placement, Outcome.UNAVAILABLE);
             return;
@@ -504,7 +504,7 @@
     } else if (report.outcome() == Outcome.REPLACED) {
       onCallFailed(Symptom.REPLACED, null);
       if (calledAddress.equals(descriptor.address())) {
-        onCrash("another worker answers at its address");
+        onCrash("another worker answers at its address", true);
         markAllLost("another worker has taken the address of its worker");
       }
     } else if (report.outcome() == Outcome.FENCED) {
@@ -553,7 +553,7 @@
           "worker: %s does not answer (%s), %d runs there, %d of them starting: %s",
           descriptor.id(), symptom, placements.size(), crashSuspects.size(), detail);
     }
-    processEnded |= symptom == Symptom.CONNECTION_CLOSED;
+    processEnded = symptom == Symptom.CONNECTION_CLOSED;
     if (hasLeft()) {
       markAllLost("the worker has left");
     }
@@ -571,7 +571,7 @@
           }
           if (loop.nowNs() - leaseEndsNs > 0) {
             if (!listed && processEnded) {
-              onCrash("it refuses connections and its entry was removed");
+              onCrash("it refuses connections and its entry was removed", false);
             }
             markAllLost("its lease has expired and the worker does not answer");
           }
@@ -586,7 +586,7 @@
     return listed || !placements.isEmpty();
   }
 
-  private void onCrash(String evidence) {
+  private void onCrash(String proof, boolean certain) {
     if (crashReported) {
       return;
     }
@@ -596,7 +596,7 @@
         "worker: %s has ended%s, %s, first symptom %s %d ms before; runs that were starting: %s.",
         descriptor.id(),
         descriptor.draining() ? " while draining" : "",
-        evidence,
+        proof,
         crashSuspects.symptom(),
         crashSuspects.symptomAgeMs(),
         suspects.stream().map(this::describeSuspect).toList());
@@ -605,7 +605,7 @@
     }
     listener.onWorkerCrashed(!suspects.isEmpty());
     for (Placement suspect : suspects) {
-      listener.onCrashSuspected(suspect, crashSuspects.evidence(suspect));
+      listener.onCrashSuspected(suspect, crashSuspects.evidence(suspect, certain));
     }
   }
 
@@ -685,7 +685,7 @@
                   report.ended().stream().map(EndedRun::task))
               .collect(Collectors.toUnmodifiableSet()));
     }
-    onCrash("it has restarted");
+    onCrash("it has restarted", true);
     lastEndNumber = 0;
     acknowledgedEndNumber = 0;
     allocation.resetFailures();
--- a/domain/src/main/java/org/hickorymoor/domain/workload/CrashEvidence.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/CrashEvidence.java
@@ -4,8 +4,11 @@
 public enum CrashEvidence {
   /** The run may not have been on the worker when it crashed. */
   UNCERTAIN(false, 0),
-  /** The worker answered right before it got the start request, and not after. */
-  START_UNANSWERED(false, 1),
+  /**
+   * The worker answered right before it got the start request and not after, or nothing but its
+   * absence shows that it has crashed.
+   */
+  LIKELY(false, 1),
   /** The worker crashed during the startup of the run. */
   DURING_STARTUP(true, 1),
   /** The worker crashed at once when it started the run, which is rarely a coincidence. */
--- a/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/JobProgressTest.java
@@ -95,7 +95,7 @@
   // Guards against a task that crashes one worker after another before any can accept its start.
   @Test
   void unansweredStartsInRowFailTheJob() {
-    assertThat(crashesUntilFailed(CrashEvidence.START_UNANSWERED)).isEqualTo(4);
+    assertThat(crashesUntilFailed(CrashEvidence.LIKELY)).isEqualTo(4);
   }
 
   private int crashesUntilFailed(CrashEvidence evidence) {
