Hold one worker at a time for suspected tasks

One worker at a time is enough to keep a suspected task from waiting for ever (suspectedTaskStartsAlthoughOtherTasksStartOnEachWorkerAllTheTime).

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -99,11 +99,6 @@
     awaitedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(HOLD_MS);
   }
 
-  /** Returns whether nothing but the given task may start. */
-  boolean isHeldFor(TaskProgress task) {
-    return isHeld() && awaited == task;
-  }
-
   /** Returns whether nothing but one suspected task may start. */
   boolean isHeld() {
     return awaited != null && loop.nowNs() - awaitedUntilNs < 0;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -881,14 +881,16 @@
     return true;
   }
 
-  /** Keeps a worker free of other starts for a suspected task that can start alone on none. */
+  /**
+   * Keeps a worker free of other starts for a suspected task that can start alone on none. One
+   * worker at a time suffices to keep such tasks from waiting for ever.
+   */
   private static void holdWorker(Job job, TaskProgress task, List<WorkerSession> eligible) {
     if (task.suspectedCrashes() == 0
-        || eligible.stream().anyMatch(session -> session.crashSuspects().isHeldFor(task))) {
+        || eligible.stream().anyMatch(session -> session.crashSuspects().isHeld())) {
       return;
     }
-    WorkerSession best =
-        chooseWorker(job, task, eligible, null, session -> !session.crashSuspects().isHeld());
+    WorkerSession best = chooseWorker(job, task, eligible, null, session -> true);
     if (best != null) {
       best.crashSuspects().holdFor(task);
     }
