--- a/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/CrashTolerance.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Decides whether the workers that crashed in a row under a task show that the task is the cause.
@@ -21,7 +20,7 @@
   /** Required weight of the evidence while many workers crash by themselves. */
   public static final int MAX_WEIGHT = 4;
 
-  private static final long WINDOW_MS = 20_000;
+  private static final long WINDOW_NS = 20_000_000_000L;
 
   private final Deque<Long> unexplainedNs = new ArrayDeque<>();
 
@@ -44,7 +43,7 @@
    * @param nowNs current time, on the same clock
    */
   public int requiredWeight(long nowNs) {
-    unexplainedNs.removeIf(atNs -> nowNs - atNs > TimeUnit.MILLISECONDS.toNanos(WINDOW_MS));
+    unexplainedNs.removeIf(atNs -> nowNs - atNs > WINDOW_NS);
     return MIN_CRASHES + unexplainedNs.size();
   }
 
