--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashEvidenceTest.java
@@ -20,25 +20,15 @@
 
   private final SimulatedCell cell = new SimulatedCell(SEED, 3, 8);
 
-  private String awaitCoordinator() {
-    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
-    return Objects.requireNonNull(cell.coordinator());
-  }
-
-  private FakeWorkers.Worker awaitRun(String task) {
-    assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf(task) != null)).isTrue();
-    return cell.workers.get(Objects.requireNonNull(cell.workers.workerOf(task)));
-  }
-
   // Guards against giving up a task whose runs were over when their workers, cut off before, ended.
   @Test
   void workersThatAreCutOffAndCrashLaterDoNotFailTheJob() {
     cell.workers.renameRestarted();
     cell.workers.durations(() -> 300L);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(1, List.of(), false));
     for (int i = 0; i < 3; i++) {
-      FakeWorkers.Worker worker = awaitRun("job.0.0.0");
+      FakeWorkers.Worker worker = cell.awaitRun("job.0.0.0");
       cell.time.advance(100);
       worker.setRefusing(true);
       cell.time.advance(1_000);
@@ -54,7 +44,7 @@
   void startsThatAreCutOffOnTheirWayDoNotFailTheJob() {
     AtomicInteger crashes = new AtomicInteger();
     cell.workers.crashBeforeStartOf(task -> crashes.incrementAndGet() <= 3);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(1, List.of(), false));
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 40_000)).isTrue();
@@ -64,10 +54,10 @@
   // Guards against giving up a task whose run has succeeded on a worker that restarted before it.
   @Test
   void runThatEndsOnWorkerRestartedWhileIdleIsNotBlamedForTheRestart() {
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.submit("h1", "job", step(1, List.of(), false));
-    FakeWorkers.Worker crashed = awaitRun("job.0.0.0");
+    FakeWorkers.Worker crashed = cell.awaitRun("job.0.0.0");
     final String crashedId = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
     cell.time.advance(50);
     crashed.crashAndRestart();
@@ -90,10 +80,10 @@
     cell.workers.crashOn(
         task -> task.equals("suspect.0.0.0") && cell.workers.startsOf("suspect.0.0.0") == 1);
     cell.workers.durations(() -> 600L);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.submit("h1", "suspect", step(1, List.of(), true));
-    awaitRun("suspect.0.0.0");
+    cell.awaitRun("suspect.0.0.0");
     final String crashed = Objects.requireNonNull(cell.workers.workerOf("suspect.0.0.0"));
     cell.time.advance(1_000);
     for (int i = 0; i < 100; i++) {
@@ -119,16 +109,16 @@
   void adoptedRunIsNotBlamedAsIfItHadJustStarted() {
     cell.workers.renameRestarted();
     cell.workers.durations(() -> 10_000L);
-    final String coordinator = awaitCoordinator();
+    final String coordinator = cell.awaitCoordinator();
     cell.submit(coordinator, "job", step(1, List.of(), false));
-    final FakeWorkers.Worker worker = awaitRun("job.0.0.0");
+    final FakeWorkers.Worker worker = cell.awaitRun("job.0.0.0");
     cell.time.advance(2_000);
     cell.kill(coordinator);
     cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
     cell.time.advance(50);
     assertThat(cell.workers.workerOf("job.0.0.0")).isNotNull();
     worker.crashAndRestart();
-    FakeWorkers.Worker next = awaitRun("job.0.0.0");
+    FakeWorkers.Worker next = cell.awaitRun("job.0.0.0");
     cell.time.advance(50);
     next.crashAndRestart();
 
@@ -142,7 +132,7 @@
     cell.workers.renameRestarted();
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
     cell.workers.hangBeforeCrash(400);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "bad", step(1, List.of(), false));
     cell.time.advance(80_000);
 
@@ -156,7 +146,7 @@
     cell.workers.renameRestarted();
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
     cell.workers.restartDelay(12_000);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "bad", step(1, List.of(), false));
     cell.time.advance(80_000);
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CrashingTaskTest.java
@@ -24,11 +24,6 @@
 
   private final SimulatedCell cell = new SimulatedCell(SEED, 3, WORKERS);
 
-  private String awaitCoordinator() {
-    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
-    return Objects.requireNonNull(cell.coordinator());
-  }
-
   // Guards against a task that crashes one worker after another without end.
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
@@ -37,7 +32,7 @@
       cell.workers.renameRestarted();
     }
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "bad", step(3, List.of(), false));
 
     assertThat(cell.awaitState("h2", "bad", WorkloadState.FAILED, 40_000)).isTrue();
@@ -53,7 +48,7 @@
     cell.workers.renameRestarted();
     cell.workers.crashBeforeAnswer();
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "bad", step(1, List.of(), false));
 
     assertThat(cell.awaitState("h2", "bad", WorkloadState.FAILED, 40_000)).isTrue();
@@ -65,7 +60,7 @@
   void longRunningTaskThatCrashesEachWorkerIsGivenUp() {
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "bad", step(2, List.of(), true));
 
     assertThat(cell.awaitState("h2", "bad", WorkloadState.FAILED, 40_000)).isTrue();
@@ -79,7 +74,7 @@
     cell.workers.renameRestarted();
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
     for (int crash = 1; crash <= MAX_CRASHES; crash++) {
-      final String coordinator = awaitCoordinator();
+      final String coordinator = cell.awaitCoordinator();
       if (crash == 1) {
         cell.submit(coordinator, "bad", step(1, List.of(), false));
       }
@@ -89,7 +84,7 @@
       cell.kill(coordinator);
       cell.time.after(2_000, () -> cell.startHost(coordinator));
     }
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(60_000);
 
     // A takeover during the outage of a worker may leave one crash uncounted.
@@ -103,7 +98,7 @@
     cell.workers.crashOn(task -> task.matches("bad[0-9]\\.0\\.0\\.0"));
     cell.workers.renameRestarted();
     cell.workers.durations(() -> 800L);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     for (int i = 0; i < 5; i++) {
       cell.submit("h1", "bad" + i, step(6, List.of(), false));
       cell.submit("h2", "good" + i, step(6, List.of(), false), step(4, List.of(0), false));
@@ -123,7 +118,7 @@
   @Test
   void startThatMayNotHaveArrivedDoesNotUseUpTheAllowedCrashes() {
     cell.workers.crashOn(task -> cell.workers.startsOf(task) == 1);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.workers.all().forEach(worker -> worker.delayStartsAndStops(1));
     cell.submit("h1", "job", step(1, List.of(), false));
@@ -141,7 +136,7 @@
   // Guards against giving up a task because its starts were on their way to workers that had ended.
   @Test
   void startsThatDoNotReachTheirWorkersDoNotFailTheJob() {
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.workers.all().forEach(worker -> worker.delayStartsAndStops(1));
     cell.submit("h1", "job", step(1, List.of(), false));
@@ -163,7 +158,7 @@
   @Test
   void startsCutOffWhenTheirWorkersComeBackDoNotFailTheJob() {
     cell.workers.cutOffUnanswered();
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.workers.all().forEach(FakeWorkers.Worker::crash);
     cell.submit("h1", "job", step(1, List.of(), false));
@@ -184,7 +179,7 @@
   void startsCutOffAtOnceByPartitionsDoNotFailTheJob() {
     cell.workers.renameRestarted();
     cell.workers.durations(() -> 2_000L);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.workers.all().forEach(worker -> worker.resetConnections(true));
     cell.submit("h1", "job", step(1, List.of(), false));
@@ -208,14 +203,11 @@
   void workersThatCrashLongAfterTheStartDoNotFailTheJob() {
     cell.workers.renameRestarted();
     cell.workers.durations(() -> 300L);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(1, List.of(), false));
     for (int i = 0; i < MAX_CRASHES; i++) {
-      assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf("job.0.0.0") != null))
-          .isTrue();
+      FakeWorkers.Worker worker = cell.awaitRun("job.0.0.0");
       cell.time.advance(100);
-      FakeWorkers.Worker worker =
-          cell.workers.get(Objects.requireNonNull(cell.workers.workerOf("job.0.0.0")));
       worker.setUnhealthy(true);
       cell.time.advance(1_000);
       worker.crashAndRestart();
@@ -228,15 +220,13 @@
   @Test
   void workersThatLeaveDoNotFailTheJob() {
     cell.workers.durations(() -> 1_000L);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(1, List.of(), false));
     for (int i = 0; i < MAX_CRASHES; i++) {
-      assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf("job.0.0.0") != null))
-          .isTrue();
+      FakeWorkers.Worker worker = cell.awaitRun("job.0.0.0");
       cell.time.advance(100);
-      String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
-      cell.workers.drain(worker);
-      cell.workers.get(worker).crashAndRestart();
+      cell.workers.drain(worker.id());
+      worker.crashAndRestart();
     }
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
@@ -247,24 +237,19 @@
   void workersThatCrashByThemselvesDoNotFailTheJob() {
     cell.workers.renameRestarted();
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "others", step(60, List.of(), true));
     cell.time.advance(5_000);
     for (int i = 0; i < 2; i++) {
-      cell.workers
-          .get(Objects.requireNonNull(cell.workers.workerOf("others.0.0.0")))
-          .crashAndRestart();
+      cell.workerRunning("others.0.0.0").crashAndRestart();
       cell.time.advance(8_000);
     }
     cell.workers.durations(() -> 1_000L);
     cell.submit("h1", "job", step(1, List.of(), false));
     for (int i = 0; i < 2; i++) {
-      assertThat(cell.time.advanceUntil(20_000, () -> cell.workers.workerOf("job.0.0.0") != null))
-          .isTrue();
+      FakeWorkers.Worker worker = cell.awaitRun("job.0.0.0");
       cell.time.advance(200);
-      cell.workers
-          .get(Objects.requireNonNull(cell.workers.workerOf("job.0.0.0")))
-          .crashAndRestart();
+      worker.crashAndRestart();
     }
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 30_000)).isTrue();
@@ -276,13 +261,11 @@
     cell.workers.renameRestarted();
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "others", step(60, List.of(), true));
     cell.time.advance(5_000);
     for (int i = 0; i < 2; i++) {
-      cell.workers
-          .get(Objects.requireNonNull(cell.workers.workerOf("others.0.0.0")))
-          .crashAndRestart();
+      cell.workerRunning("others.0.0.0").crashAndRestart();
       cell.time.advance(8_000);
     }
     cell.submit("h1", "bad", step(1, List.of(), false));
@@ -295,7 +278,7 @@
   @Test
   void networkPartitionsDoNotCountAsCrashes() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(1, List.of(), true));
     for (int i = 0; i < MAX_CRASHES + 1; i++) {
       int starts = i + 1;
@@ -316,7 +299,7 @@
     cell.workers.crashOn(task -> task.equals("bad.0.0.0"));
     cell.workers.renameRestarted();
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(8, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
     cell.submit("h1", "bad", step(1, List.of(), false));
@@ -330,7 +313,7 @@
   @Test
   void shrunkenWorkerStartsNothingThatWasPlacedBefore() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(2_000);
     // The placed tasks wait for the store while the list of workers shows the smaller capacity.
     cell.store.serialAppendMs(580);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -84,6 +84,10 @@
       this.id = id;
     }
 
+    String id() {
+      return id;
+    }
+
     /** Ends all runs without reporting their ends. */
     void crash() {
       up = false;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LateSubmissionTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LateSubmissionTest.java
@@ -5,7 +5,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.Objects;
 import org.hickorymoor.daemon.peer.PeerRequest;
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.domain.workload.Submission;
@@ -33,14 +32,9 @@
 
   private final SimulatedCell cell = new SimulatedCell(SEED, 3, WORKERS);
 
-  private String awaitCoordinator() {
-    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
-    return Objects.requireNonNull(cell.coordinator());
-  }
-
   /** Lets a coordinator place the announced job, and its successor find that all is idle. */
   private String awaitSuccessorOfCoordinatorThatPlacedJob() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.time.advance(2_000);
     var unused =
         cell.shard(initialCoordinator)
@@ -50,7 +44,7 @@
     cell.time.advance(500);
     assertThat(cell.store.keys(KeyedStream.LEDGER)).contains("job");
     cell.kill(initialCoordinator);
-    final String successor = awaitCoordinator();
+    final String successor = cell.awaitCoordinator();
     cell.time.advance(10_000);
     return successor;
   }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -20,18 +20,13 @@
 
   private final SimulatedCell cell = new SimulatedCell(SEED, 3, 4);
 
-  private String awaitCoordinator() {
-    cell.time.advanceUntil(20_000, () -> cell.coordinator() != null);
-    return Objects.requireNonNull(cell.coordinator());
-  }
-
   private String hostOtherThan(String host) {
     return cell.hostNames().stream().filter(name -> !name.equals(host)).findFirst().orElseThrow();
   }
 
   @Test
   void jobOfDependentStepsCompletesAsSeenFromAnotherHost() {
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h1", "job", step(3, List.of(), false), step(2, List.of(0), false));
 
     assertThat(cell.awaitState("h2", "job", WorkloadState.COMPLETED, 10_000)).isTrue();
@@ -42,7 +37,7 @@
   @Test
   void runsOnWorkerThatIsNoLongerListedStartAgainElsewhereAfterTakeover() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.submit(hostOtherThan(initialCoordinator), "job", step(1, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().contains("job.0.0.0"));
     String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
@@ -59,7 +54,7 @@
   @Test
   void successorAdoptsRunningTasksAndStartsNoneTwice() {
     cell.workers.durations(() -> 4_000L);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     final String other = hostOtherThan(initialCoordinator);
     cell.submit(other, "job", step(6, List.of(), false));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 6);
@@ -74,7 +69,7 @@
   @Test
   void jobIsFailedOnlyAfterItsAttemptsAreUsedUp() {
     cell.workers.outcomes((task, run, worker) -> TerminationReason.FAILED);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.submit(hostOtherThan(initialCoordinator), "job", step(1, List.of(), false));
 
     assertThat(cell.awaitState("h0", "job", WorkloadState.FAILED, 20_000)).isTrue();
@@ -84,7 +79,7 @@
   @Test
   void cancelledJobStopsAndStaysCancelledAfterTakeover() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     final String other = hostOtherThan(initialCoordinator);
     cell.submit(other, "job", step(4, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 4);
@@ -100,7 +95,7 @@
   @Test
   void frozenCoordinatorThatResumesAfterItsSuccessorChangesNothing() {
     cell.workers.durations(() -> 9_000L);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     final String other = hostOtherThan(initialCoordinator);
     cell.submit(other, "job", step(6, List.of(), false));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 6);
@@ -113,7 +108,7 @@
 
   @Test
   void hostThatStoreRefusesRelaysSubmissionThroughPeer() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     final String other = hostOtherThan(initialCoordinator);
     cell.time.advance(3_000);
     cell.store.refuseHost(other, true);
@@ -128,7 +123,7 @@
   @Test
   void storeOutageShorterThanCoordinatorLeaseEndsNoRun() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.submit(hostOtherThan(initialCoordinator), "job", step(4, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 4);
 
@@ -144,7 +139,7 @@
 
   @Test
   void drainingWorkersGetNoNewRuns() {
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.workers.drain("w0");
     cell.workers.drain("w1");
     cell.workers.drain("w2");
@@ -159,7 +154,7 @@
   /** Runs eight endless tasks and drains one of their workers; returns its id. */
   private String drainWorkerWithRuns() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.submit("h0", "job", step(8, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
     String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
@@ -200,7 +195,7 @@
   @Test
   void restartedWorkerLosesOnlyItsOwnRuns() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.submit(hostOtherThan(initialCoordinator), "job", step(8, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
     String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
@@ -215,7 +210,7 @@
 
   @Test
   void jobThatIsDefinitelyNotStoredIsRefusedAtOnceAndNeverRuns() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     final String other = hostOtherThan(initialCoordinator);
     cell.time.advance(3_000);
     cell.store.setUnresponsive(true);
@@ -235,7 +230,7 @@
 
   @Test
   void jobInDoubtIsStoredIfStoreRecoversBeforeTheDeadline() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.time.advance(3_000);
     cell.store.setUnresponsive(true);
     var stored = cell.submit(hostOtherThan(initialCoordinator), "job", step(1, List.of(), false));
@@ -249,7 +244,7 @@
   @Test
   void coordinatorThatBecomesSlowHandsOverAndEndsNoRun() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.submit(hostOtherThan(initialCoordinator), "job", step(4, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 4);
 
@@ -267,7 +262,7 @@
 
   @Test
   void formerCoordinatorClaimsAtOnceAfterRestartOfAllHosts() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.hostNames().forEach(cell::kill);
     cell.time.advance(100);
     cell.hostNames().forEach(cell::startHost);
@@ -279,7 +274,7 @@
   @Test
   void runsOnUnreachableWorkerStartElsewhereOnceTheirLeaseHasExpired() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.submit(hostOtherThan(initialCoordinator), "job", step(8, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
     String worker = Objects.requireNonNull(cell.workers.workerOf("job.0.0.0"));
@@ -298,7 +293,7 @@
   @Test
   void suspendedCoordinatorKeepsNoRunAliveThatItsSuccessorCountsAsLost() {
     cell.workers.durations(() -> Long.MAX_VALUE);
-    final String suspended = awaitCoordinator();
+    final String suspended = cell.awaitCoordinator();
     cell.submit(hostOtherThan(suspended), "job", step(8, List.of(), true));
     cell.time.advanceUntil(5_000, () -> cell.workers.running().size() == 8);
     cell.time.advance(13_000);
@@ -317,7 +312,7 @@
 
   @Test
   void coordinatorThatStoreRefusesIsReplacedAtOnce() {
-    final String refused = awaitCoordinator();
+    final String refused = cell.awaitCoordinator();
     cell.time.advance(3_000);
     cell.store.refuseHost(refused, true);
 
@@ -326,7 +321,7 @@
 
   @Test
   void slowStoreReplacesNoCoordinator() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.time.advance(3_000);
     cell.store.answerMs(400);
     cell.time.advance(10_000);
@@ -338,7 +333,7 @@
 
   @Test
   void coordinatorThatRefusesConnectionsIsReplacedBeforeTheElectionTimeout() {
-    final String killed = awaitCoordinator();
+    final String killed = cell.awaitCoordinator();
     cell.time.advance(3_000);
     cell.kill(killed);
     cell.submit(hostOtherThan(killed), "job", step(1, List.of(), false));
@@ -348,7 +343,7 @@
 
   @Test
   void hostsThatStartWithoutTheFormerCoordinatorClaimAtOnce() {
-    final String former = awaitCoordinator();
+    final String former = cell.awaitCoordinator();
     cell.hostNames().forEach(cell::kill);
     cell.time.advance(2_000);
     cell.hostNames().stream().filter(name -> !name.equals(former)).forEach(cell::startHost);
@@ -358,7 +353,7 @@
 
   @Test
   void strongHostTakesOverBeforeWeakOnes() {
-    final String former = awaitCoordinator();
+    final String former = cell.awaitCoordinator();
     cell.hostNames().stream().filter(name -> !name.equals(former)).forEach(cell::kill);
     for (int i = 0; i < 10; i++) {
       cell.startHost("weak" + i, 0.36);
@@ -374,7 +369,7 @@
 
   @Test
   void startThatIsCarriedOutLateIsReplacedWithinTheTargetLatency() {
-    awaitCoordinator();
+    cell.awaitCoordinator();
     cell.time.advance(3_000);
     cell.workers.all().forEach(worker -> worker.delayStartsAndStops(1));
     cell.submit("h0", "job", step(1, List.of(), false));
@@ -400,7 +395,7 @@
 
   @Test
   void submissionsOfEndedJobsAreRemovedAndSuccessorKnowsTheirFinalStates() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     final String other = hostOtherThan(initialCoordinator);
     cell.submit(other, "done", step(1, List.of(), false));
     cell.submit(other, "cancelled", step(1, List.of(), true));
@@ -423,7 +418,7 @@
    */
   @Test
   void jobIsPlacedWhileItIsStoredSoThatSlowStoreDelaysItOnlyOnce() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.time.advance(2_000);
     cell.store.answerMs(300);
     cell.time.advance(2_000);
@@ -435,7 +430,7 @@
 
   @Test
   void announcedJobThatIsNeverStoredNeverStartsAndIsRemoved() {
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.time.advance(2_000);
     announce(initialCoordinator, "job", 8, false);
     cell.time.advance(1_000);
@@ -454,7 +449,7 @@
   @Test
   void successorThatReadsSubmissionLateStartsNoRunningTaskAgain() {
     cell.workers.durations(() -> 6_000L);
-    final String initialCoordinator = awaitCoordinator();
+    final String initialCoordinator = cell.awaitCoordinator();
     cell.time.advance(2_000);
     announce(initialCoordinator, "job", 4, false);
     cell.time.advance(500);
@@ -465,7 +460,7 @@
     for (int i = 0; i < 4; i++) {
       cell.workers.get("w" + i).setDisconnected(i % 2 == 0);
     }
-    final String successor = awaitCoordinator();
+    final String successor = cell.awaitCoordinator();
     cell.time.advance(1_000);
     cell.store.put(
         KeyedStream.submissionPartitions().get(0),
@@ -507,7 +502,7 @@
   void plannedStopOfCoordinatorDelaysNoJob() {
     for (long answerMs : new long[] {4, 100}) {
       cell.store.answerMs(4);
-      final String initialCoordinator = awaitCoordinator();
+      final String initialCoordinator = cell.awaitCoordinator();
       final String other = hostOtherThan(initialCoordinator);
       cell.time.advance(3_000);
       cell.store.answerMs(answerMs);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.hickorymoor.daemon.peer.PeerException;
 import org.hickorymoor.daemon.peer.PeerReply;
@@ -21,6 +22,7 @@
   static final QueuePolicy POLICY = new QueuePolicy("queue", "pool", 0, 3, 1.5, 600, null);
 
   private static final long LINK_LATENCY_MS = 2;
+  private static final long AWAIT_TIMEOUT_MS = 20_000;
 
   private static final class Host {
     private final VirtualTime.HostEventLoop loop;
@@ -131,7 +133,7 @@
   }
 
   private Host host(String name) {
-    return java.util.Objects.requireNonNull(hosts.get(name));
+    return Objects.requireNonNull(hosts.get(name));
   }
 
   List<String> hostNames() {
@@ -148,6 +150,23 @@
     return null;
   }
 
+  /** Advances time until a host is the coordinator and has completed its takeover. */
+  String awaitCoordinator() {
+    time.advanceUntil(AWAIT_TIMEOUT_MS, () -> coordinator() != null);
+    return Objects.requireNonNull(coordinator(), "no coordinator in time");
+  }
+
+  /** Advances time until a task runs, and returns the worker that it runs on. */
+  FakeWorkers.Worker awaitRun(String task) {
+    time.advanceUntil(AWAIT_TIMEOUT_MS, () -> workers.workerOf(task) != null);
+    return workerRunning(task);
+  }
+
+  /** Returns the worker that a task runs on now. */
+  FakeWorkers.Worker workerRunning(String task) {
+    return workers.get(Objects.requireNonNull(workers.workerOf(task), task + " doesn't run"));
+  }
+
   static StepSpec step(int count, List<Integer> after, boolean longRunning) {
     return new StepSpec(
         count,
