Release a worker that is held for a suspected task once the task is placed elsewhere

The hold lasted a second in any case, and no other worker could be held meanwhile. Found by reading.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -67,9 +67,6 @@
 
   /** Notes a run that has just been placed. */
   void runPlaced(Placement placement) {
-    if (placement.task == awaited) {
-      awaited = null;
-    }
     if (placement.task.suspectedCrashes() > 0) {
       isolated = placement;
     }
@@ -101,7 +98,9 @@
 
   /** Returns whether nothing but one suspected task may start. */
   boolean isHeld() {
-    return awaited != null && loop.nowNs() - awaitedUntilNs < 0;
+    return awaited != null
+        && awaited.phase() == TaskProgress.Phase.IDLE
+        && loop.nowNs() - awaitedUntilNs < 0;
   }
 
   private boolean mayBeStarting(Placement placement) {
