Review: a draining worker behind a cut has its tasks started twice

A worker drains and its link is cut with refused connections. When its entry expires, 4.5 s after its last heartbeat, the coordinator takes the refused connection for proof that the process has ended and starts its tasks elsewhere, about a second before their lease ends (WorkerSession.hasLeft).

--- /dev/null
+++ b/review/standins/review/Proxy.java
@@ -0,0 +1,113 @@
+package review;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.HashSet;
+import java.util.Set;
+
+/** A TCP proxy on one loopback port that can reset its connections and refuse new ones. */
+final class Proxy {
+
+  private static final int BACKLOG = 512;
+  private static final int BUFFER_BYTES = 65_536;
+
+  private final int port;
+  private final Set<Socket> sockets = new HashSet<>();
+  private ServerSocket listener;
+  private int targetPort;
+
+  Proxy() throws IOException {
+    listener = bind(0);
+    port = listener.getLocalPort();
+    listener.close();
+  }
+
+  int port() {
+    return port;
+  }
+
+  private static ServerSocket bind(int port) throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getByName(Http.LOOPBACK), port), BACKLOG);
+    return socket;
+  }
+
+  /** Accepts connections and forwards them to a port. */
+  synchronized void open(int newTargetPort) throws IOException {
+    targetPort = newTargetPort;
+    listener = bind(port);
+    ServerSocket accepting = listener;
+    Http.THREADS.execute(() -> accept(accepting));
+  }
+
+  /** Accepts connections again and forwards them to the same port as before. */
+  synchronized void reopen() throws IOException {
+    open(targetPort);
+  }
+
+  /** Closes all connections and refuses new ones; what runs behind the proxy goes on. */
+  synchronized void refuse() {
+    close(listener);
+    sockets.forEach(Proxy::close);
+    sockets.clear();
+  }
+
+  private void accept(ServerSocket accepting) {
+    while (true) {
+      try {
+        Socket client = accepting.accept();
+        Socket server = new Socket(Http.LOOPBACK, targetPort);
+        client.setTcpNoDelay(true);
+        server.setTcpNoDelay(true);
+        synchronized (this) {
+          if (accepting.isClosed()) {
+            close(client);
+            close(server);
+            return;
+          }
+          sockets.add(client);
+          sockets.add(server);
+        }
+        Http.THREADS.execute(() -> forward(client, server));
+        Http.THREADS.execute(() -> forward(server, client));
+      } catch (IOException e) {
+        if (accepting.isClosed()) {
+          return;
+        }
+      }
+    }
+  }
+
+  private void forward(Socket from, Socket to) {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        out.write(buffer, 0, count);
+      }
+    } catch (IOException e) {
+      // The other direction sees the closed sockets.
+    }
+    close(from);
+    close(to);
+    synchronized (this) {
+      sockets.remove(from);
+      sockets.remove(to);
+    }
+  }
+
+  private static void close(AutoCloseable socket) {
+    try {
+      socket.close();
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
