Review: a host that has coordinated applies a configuration late

The coordinator freezes for 4 s and wakes; then all open connections to the store go silent and the configuration changes. The host that had frozen keeps some fifteen unused connections, and reads the configuration over one dead connection after the other, 1.7 s each (AsyncHttpClient, ConfigWatcher.poll). It handles requests by the old version up to 8 s after the ack, in touch; 3 s are allowed.

--- a/review/standins/review/Host.java
+++ b/review/standins/review/Host.java
@@ -107,6 +107,12 @@
     return process != null && process.isAlive();
   }
 
+  /** Sends a signal, such as STOP. */
+  void signal(String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    record.log("%s gets SIG%s", name, signal);
+  }
+
   /** Kills the process (SIGKILL). */
   void kill() throws InterruptedException {
     if (process != null) {
--- a/review/standins/review/Main.java
+++ b/review/standins/review/Main.java
@@ -18,7 +18,8 @@
           "drain-refuse", DrainRefuse::run,
           "long-schedule", LongSchedule::run,
           "flap", Flap::run,
-          "whole-worker", WholeWorker::run);
+          "whole-worker", WholeWorker::run,
+          "stale-config", StaleConfig::run);
 
   private Main() {}
 
--- a/review/standins/review/Proxy.java
+++ b/review/standins/review/Proxy.java
@@ -10,7 +10,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/** A TCP proxy on one loopback port that can reset its connections and refuse new ones. */
+/** A TCP proxy on one loopback port that can close, refuse or silence connections. */
 final class Proxy {
 
   private static final int BACKLOG = 512;
@@ -18,6 +18,7 @@
 
   private final int port;
   private final Set<Socket> sockets = new HashSet<>();
+  private final Set<Socket> silent = new HashSet<>();
   private ServerSocket listener;
   private int targetPort;
 
@@ -58,6 +59,16 @@
     sockets.clear();
   }
 
+  /** Lets the open connections go silent for good, without a reset; new ones work. */
+  synchronized int silenceOpen() {
+    silent.addAll(sockets);
+    return sockets.size() / 2;
+  }
+
+  private synchronized boolean isSilent(Socket socket) {
+    return silent.contains(socket);
+  }
+
   private void accept(ServerSocket accepting) {
     while (true) {
       try {
@@ -90,7 +101,9 @@
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-        out.write(buffer, 0, count);
+        if (!isSilent(from)) {
+          out.write(buffer, 0, count);
+        }
       }
     } catch (IOException e) {
       // The other direction sees the closed sockets.
@@ -100,6 +113,8 @@
     synchronized (this) {
       sockets.remove(from);
       sockets.remove(to);
+      silent.remove(from);
+      silent.remove(to);
     }
   }
 
--- a/review/standins/review/Rig.java
+++ b/review/standins/review/Rig.java
@@ -1,5 +1,6 @@
 package review;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.IOException;
@@ -30,6 +31,10 @@
   final Record record;
   final Store store;
   final List<Host> hosts = new ArrayList<>();
+
+  /** A proxy between each host and the store, if the case asks for them. */
+  final List<Proxy> storeProxies = new ArrayList<>();
+
   final List<Worker> workers = new ArrayList<>();
   final Random random = new Random(1);
   private final Path folder;
@@ -68,26 +73,55 @@
 
   /** Writes a configuration with one queue. */
   void configure(int version, int maxAttempts, int priority) {
+    configure(version, maxAttempts, priority, PREFIX);
+  }
+
+  /** Writes a configuration with a queue for each path prefix. */
+  void configure(int version, int maxAttempts, int priority, String... prefixes) {
+    JsonArray routes = new JsonArray();
+    for (String prefix : prefixes) {
+      JsonObject route = new JsonObject();
+      route.addProperty("name", "r" + prefix.replace('/', '-'));
+      route.addProperty("host", QUEUE_HOST);
+      route.addProperty("path_prefix", prefix);
+      route.addProperty("kind", "unsafe");
+      route.addProperty("timeout_ms", 3_000);
+      route.addProperty("target_latency_ms", 600);
+      route.addProperty("priority", priority);
+      route.addProperty("service", SERVICE);
+      route.addProperty("max_attempts", maxAttempts);
+      route.addProperty("stretch", 1.5);
+      routes.add(route);
+    }
     store.put(
         "keyed.op",
         "config",
         """
-        {"version":%d,"routes":[{"name":"r-jobs","host":"%s","path_prefix":"%s","kind":"unsafe",
-        "timeout_ms":3000,"target_latency_ms":600,"priority":%d,"service":"%s","max_attempts":%d,
-        "stretch":1.5}],
+        {"version":%d,"routes":%s,
         "services":[{"name":"%s","health_path":"/health","max_connections":64,"protocol":"h1",
         "tls":false,"rejects_overload":false,"spare":false}],
         "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,
         "idle_timeout_ms":15000}}
         """
-            .formatted(version, QUEUE_HOST, PREFIX, priority, SERVICE, maxAttempts, SERVICE));
+            .formatted(version, routes, SERVICE));
   }
 
   void startHosts(int count) throws IOException, InterruptedException {
+    startHosts(count, false);
+  }
+
+  void startHosts(int count, boolean proxied) throws IOException, InterruptedException {
     for (int i = 0; i < count; i++) {
+      int storePort = store.port();
+      if (proxied) {
+        Proxy proxy = new Proxy();
+        proxy.open(storePort);
+        storeProxies.add(proxy);
+        storePort = proxy.port();
+      }
       Host host =
           new Host(
-              record, folder, "front-" + (i + 1), "127.0.0." + (11 + i), firstPort, store.port());
+              record, folder, "front-" + (i + 1), "127.0.0." + (11 + i), firstPort, storePort);
       hosts.add(host);
       host.start();
     }
@@ -127,8 +161,13 @@
   }
 
   Answer call(Host host, String method, String id, String body) throws InterruptedException {
+    return callPath(host, method, PREFIX + id, body);
+  }
+
+  Answer callPath(Host host, String method, String path, String body)
+      throws InterruptedException {
     HttpRequest.Builder request =
-        HttpRequest.newBuilder(URI.create(host.api() + PREFIX + id))
+        HttpRequest.newBuilder(URI.create(host.api() + path))
             .timeout(CALL_LIMIT)
             .header("Content-Type", "application/json")
             .header("X-Deadline-Remaining", "3000")
--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -105,6 +105,15 @@
     partition(topic, "0").append(List.of(content));
   }
 
+  /** Returns the newest value of a key, or null if there is none. */
+  String get(String topic, String part, String key) {
+    Partition partition = partition(topic, part);
+    synchronized (partition) {
+      Item item = partition.newest.get(key);
+      return item == null ? null : new String(item.value, UTF_8);
+    }
+  }
+
   private void handle(HttpExchange call) throws IOException, InterruptedException {
     Map<String, String> query = Http.query(call);
     switch (call.getRequestMethod() + " " + call.getRequestURI().getPath()) {
