--- a/review/standins/review/Proxy.java
+++ b/review/standins/review/Proxy.java
@@ -3,18 +3,23 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A TCP proxy on one loopback port that can close, refuse or silence connections. */
 final class Proxy {
 
   private static final int BACKLOG = 512;
   private static final int BUFFER_BYTES = 65_536;
+  private static final int FIRST_PORT = 10_000;
+  private static final int PORTS = 9_000;
+  private static final int MAX_ATTEMPTS = 50;
 
   private final int port;
   private final Set<Socket> sockets = new HashSet<>();
@@ -22,10 +27,25 @@
   private ServerSocket listener;
   private int targetPort;
 
+  /**
+   * Takes a port below those that the system gives to outgoing connections, so that none of these
+   * takes it while the proxy refuses connections.
+   */
   Proxy() throws IOException {
-    listener = bind(0);
-    port = listener.getLocalPort();
-    listener.close();
+    int chosen = 0;
+    for (int attempt = 0; attempt < MAX_ATTEMPTS && chosen == 0; attempt++) {
+      int candidate = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+      try {
+        bind(candidate).close();
+        chosen = candidate;
+      } catch (BindException e) {
+        continue; // Taken: the next attempt.
+      }
+    }
+    if (chosen == 0) {
+      throw new IOException("no free port");
+    }
+    port = chosen;
   }
 
   int port() {
