Review: keep case 1 inside the dose of drains, probe ports on loopback

One of sixteen workers drains in place of one of six, as the site file gives a share of 0.065. Free ports are looked for at the addresses of the hosts only.

--- a/review/standins/review/DrainRefuse.java
+++ b/review/standins/review/DrainRefuse.java
@@ -10,7 +10,7 @@
  */
 final class DrainRefuse {
 
-  private static final int WORKERS = 6;
+  private static final int WORKERS = 16;
   private static final long TASK_MS = 25_000;
   private static final long CUT_AFTER_MS = 300;
   private static final long CUT_MS = 5_500;
@@ -26,7 +26,7 @@
       for (int i = 0; i < WORKERS; i++) {
         rig.workers.add(
             new Worker(
-                record, rig.store, "i-7f3a91c" + i, "kaduna-a", "r1-" + i / 3, 16_000, 65_536,
+                record, rig.store, "i-7f3a91" + (10 + i), "kaduna-a", "r1-" + i / 8, 16_000, 65_536,
                 task -> TASK_MS));
       }
       rig.startHosts(2);
--- a/review/standins/review/Rig.java
+++ b/review/standins/review/Rig.java
@@ -25,6 +25,8 @@
   static final String PREFIX = "/jobs/";
 
   private static final int PORTS_PER_HOST = 24;
+  private static final int MAX_HOSTS = 4;
+  private static final int FIRST_IP = 11;
   private static final long START_LIMIT_MS = 20_000;
   private static final Duration CALL_LIMIT = Duration.ofSeconds(4);
 
@@ -55,13 +57,19 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
-  /** Returns the first port of a free range. */
+  private static String ip(int host) {
+    return "127.0.0." + (FIRST_IP + host);
+  }
+
+  /** Returns the first port of a range that is free at the addresses of all hosts. */
   private static int freePorts() throws IOException {
     for (int attempt = 0; attempt < 50; attempt++) {
       int first = 20_000 + new Random().nextInt(9_000);
       try {
-        for (int i = 0; i < PORTS_PER_HOST; i++) {
-          new ServerSocket(first + i, 1, InetAddress.getByName("0.0.0.0")).close();
+        for (int host = 0; host < MAX_HOSTS; host++) {
+          for (int i = 0; i < PORTS_PER_HOST; i++) {
+            new ServerSocket(first + i, 1, InetAddress.getByName(ip(host))).close();
+          }
         }
         return first;
       } catch (IOException e) {
@@ -121,7 +129,7 @@
       }
       Host host =
           new Host(
-              record, folder, "front-" + (i + 1), "127.0.0." + (11 + i), firstPort, storePort);
+              record, folder, "front-" + (i + 1), ip(i), firstPort, storePort);
       hosts.add(host);
       host.start();
     }
