--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -246,7 +246,7 @@
         jobs.size(),
         endedJobs.size());
     submissionCleaner.start();
-    onWorkers(workersBeforeReady);
+    onWorkers(workersBeforeReady, Set.of());
     workersBeforeReady = Map.of();
     schedulePlacement();
   }
@@ -403,7 +403,7 @@
 
   // Workers
 
-  private void onWorkers(Map<String, WorkerDescriptor> listed) {
+  private void onWorkers(Map<String, WorkerDescriptor> listed, Set<String> departed) {
     if (closed) {
       return;
     }
@@ -438,11 +438,12 @@
       adoptPlacements(new HashSet<>(newWorkers));
     }
     listed.forEach((id, descriptor) -> sessionOf(id).update(descriptor));
-    for (Map.Entry<String, WorkerSession> entry : sessions.entrySet()) {
-      if (!listed.containsKey(entry.getKey())) {
-        entry.getValue().update(null);
-      }
-    }
+    sessions.forEach(
+        (id, session) -> {
+          if (!listed.containsKey(id)) {
+            session.onUnlisted(departed.contains(id));
+          }
+        });
     sessions.values().removeIf(WorkerSession::isRemovable);
     schedulePlacement();
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
@@ -7,10 +7,16 @@
  * @param domain failure domain of the host
  * @param peerAddress ip:port where peers reach it
  * @param leaseMs lease of the runs on a worker, counted from each renewal
+ * @param workerHeartbeatMs interval at which workers write their entries in the list
  * @param processors processor capacity of this host in cores; strong hosts coordinate first
  */
 public record ShardSettings(
-    String hostId, String domain, String peerAddress, long leaseMs, double processors) {
+    String hostId,
+    String domain,
+    String peerAddress,
+    long leaseMs,
+    long workerHeartbeatMs,
+    double processors) {
 
   /**
    * Interval of the coordinator's heartbeats; a dead coordinator is detected within about 1.5 s.
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerCatalog.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.StoredRecord;
 import org.hickorymoor.daemon.port.KeyedStream;
@@ -23,6 +22,20 @@
  */
 final class WorkerCatalog {
 
+  /** Receives the list of workers after every change. */
+  @FunctionalInterface
+  interface Listener {
+
+    /**
+     * Called after a change.
+     *
+     * @param listed the listed workers
+     * @param departed IDs of the workers that have removed their entries since the last call; the
+     *     entries of others that are missing have expired
+     */
+    void onChange(Map<String, WorkerDescriptor> listed, Set<String> departed);
+  }
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Well below the time within which a draining worker must stop receiving new runs. */
@@ -38,19 +51,28 @@
   /** Keys of the records that describe no usable worker; each is named once in the log. */
   private final Set<String> unusable = new HashSet<>();
 
-  private Consumer<Map<String, WorkerDescriptor>> listener = workers -> {};
+  private final Set<String> departed = new HashSet<>();
+  private final DepartureDetector departures;
+  private Listener listener = (workers, departedIds) -> {};
   private long nextOffset;
   private boolean closed;
   private boolean storeUnavailable;
 
-  WorkerCatalog(ShardEventLoop loop, KeyedLogPort log, WorkerRecordDecoder decoder) {
+  /**
+   * Creates a catalog; {@link #start} begins to read the list.
+   *
+   * @param heartbeatMs interval at which workers write their entries
+   */
+  WorkerCatalog(
+      ShardEventLoop loop, KeyedLogPort log, WorkerRecordDecoder decoder, long heartbeatMs) {
     this.loop = loop;
     this.log = log;
     this.decoder = decoder;
+    this.departures = new DepartureDetector(loop, heartbeatMs);
   }
 
   /** Reads the list and passes it to the listener after every change. */
-  void start(Consumer<Map<String, WorkerDescriptor>> onChange) {
+  void start(Listener onChange) {
     listener = onChange;
     load();
   }
@@ -62,6 +84,8 @@
   private void load() {
     Map<String, WorkerDescriptor> loading = new LinkedHashMap<>();
     unusable.clear();
+    departures.onInterrupted();
+    final DepartureDetector.Moment requestedAt = departures.now();
     LatestRecordReader.read(
         loop,
         log,
@@ -85,6 +109,7 @@
           @Override
           public void onComplete(long endOffset) {
             nextOffset = endOffset;
+            departures.onUpToDate(requestedAt);
             listed.clear();
             listed.putAll(loading);
             notifyListener();
@@ -97,6 +122,7 @@
     if (closed) {
       return;
     }
+    final DepartureDetector.Moment requestedAt = departures.now();
     loop.then(
         log.read(KeyedStream.WORKERS, nextOffset, 0, ShardSettings.STORE_TIMEOUT_MS),
         (chunk, failure) -> {
@@ -110,6 +136,9 @@
               apply(listed, stored);
               nextOffset = stored.offset() + 1;
             }
+            if (nextOffset >= chunk.endOffset()) {
+              departures.onUpToDate(requestedAt);
+            }
             if (!chunk.records().isEmpty() && !closed) {
               notifyListener();
             }
@@ -121,16 +150,30 @@
   private void notifyListener() {
     Map<String, WorkerDescriptor> snapshot =
         Collections.unmodifiableMap(new LinkedHashMap<>(listed));
-    ShardEventLoop.runIsolated(() -> listener.accept(snapshot), "a change of the list of workers");
+    Set<String> departedIds = Set.copyOf(departed);
+    departed.clear();
+    ShardEventLoop.runIsolated(
+        () -> listener.onChange(snapshot, departedIds), "a change of the list of workers");
   }
 
   private void apply(Map<String, WorkerDescriptor> workers, StoredRecord stored) {
     WorkerDescriptor descriptor = decode(stored);
     WorkerDescriptor previous =
         descriptor == null ? workers.remove(stored.key()) : workers.put(stored.key(), descriptor);
+    if (descriptor != null) {
+      departures.onHeartbeat(stored.key());
+      departed.remove(stored.key());
+    }
     if (descriptor == null && previous != null) {
+      boolean removedItself = stored.isTombstone() && departures.onRemoved(stored.key());
+      if (removedItself) {
+        departed.add(stored.key());
+      }
       logger.atInfo().log(
-          "workers: %s removed from the list, offset %d.", stored.key(), stored.offset());
+          "workers: %s removed from the list, %s, offset %d.",
+          stored.key(),
+          removedItself ? "before its entry could expire" : "perhaps expired",
+          stored.offset());
     } else if (descriptor != null
         && (previous == null || previous.draining() != descriptor.draining())) {
       logger.atInfo().log(
@@ -167,6 +210,9 @@
   }
 
   private void trackStoreState(@Nullable PlatformException failure) {
+    if (failure != null) {
+      departures.onInterrupted();
+    }
     if (storeUnavailable != (failure != null)) {
       storeUnavailable = failure != null;
       logger.atInfo().log(
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -143,6 +143,10 @@
   private final Map<String, Placement> placements = new HashMap<>();
   private WorkerDescriptor descriptor;
   private boolean listed = true;
+
+  /** Whether the worker has removed its own entry. */
+  private boolean departed;
+
   private boolean synced;
   private boolean closed;
 
@@ -204,24 +208,32 @@
     return allocation;
   }
 
-  /** Applies the latest list entry of the worker; null if it is no longer listed. */
-  void update(@Nullable WorkerDescriptor newer) {
-    if (newer == null) {
-      listed = false;
-      if (hasLeft()) {
-        markAllLost("the worker has left");
-      } else {
-        // The worker may only fail to reach the store; the next call to it shows whether it left.
-        requestReport();
-      }
-      return;
-    }
+  /** Applies the latest list entry of the worker. */
+  void update(WorkerDescriptor newer) {
     listed = true;
+    departed = false;
     descriptor = newer;
     allocation.update(newer);
     requestReport();
   }
 
+  /**
+   * Notes that the worker is no longer listed.
+   *
+   * @param removedItself whether the worker has just removed its own entry, as it does when its
+   *     process exits
+   */
+  void onUnlisted(boolean removedItself) {
+    listed = false;
+    departed |= removedItself;
+    if (hasLeft()) {
+      markAllLost("the worker has left");
+    } else {
+      // The worker may only fail to reach the store; the next call to it shows whether it left.
+      requestReport();
+    }
+  }
+
   /** Returns whether the worker is no longer listed and none of its runs is left. */
   boolean isRemovable() {
     return !listed && placements.isEmpty();
@@ -693,11 +705,12 @@
   }
 
   /**
-   * Returns whether the worker has left: it said that it would, its entry was removed, and it
-   * closed a connection instead of answering, or nothing listens at its address.
+   * Returns whether the worker's process has exited: the worker was draining, has removed its own
+   * entry and doesn't answer. An entry that has expired proves nothing, nor does a refused
+   * connection: a worker that is cut off from the store and from this host shows both.
    */
   private boolean hasLeft() {
-    return !listed && descriptor.draining() && processEnded;
+    return departed && descriptor.draining() && consecutiveFailures > 0;
   }
 
   private void markAllLost(String reason) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -39,6 +39,9 @@
   private static final long LINK_LATENCY_MS = 3;
   private static final long MAX_LEASE_MS = 6_000;
 
+  /** Interval at which a worker writes its entry in the list. */
+  static final long HEARTBEAT_MS = 1_500;
+
   /** How long the entry of a worker that has crashed stays in the list. */
   private static final long ENTRY_TTL_MS = 5_000;
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -60,7 +60,8 @@
   /** Starts a host of some processor capacity, in cores. */
   void startHost(String name, double processors) {
     VirtualTime.HostEventLoop loop = time.new HostEventLoop();
-    ShardSettings settings = new ShardSettings(name, "d", name, 6_000, processors);
+    ShardSettings settings =
+        new ShardSettings(name, "d", name, 6_000, FakeWorkers.HEARTBEAT_MS, processors);
     ApprovalPort advice = (step, ids, withinMs) -> new CompletableFuture<>();
     Shard shard =
         new Shard(
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkerCatalogTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkerCatalogTest.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -25,8 +26,10 @@
   private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
   private final VirtualTime time = new VirtualTime(5);
   private final FakeStore store = new FakeStore(time);
+  private final VirtualTime.HostEventLoop loop = time.new HostEventLoop();
   private final WorkerCatalog catalog =
-      new WorkerCatalog(time.new HostEventLoop(), store.port("h"), WorkerCatalogTest::decode);
+      new WorkerCatalog(loop, store.port("h"), WorkerCatalogTest::decode, FakeWorkers.HEARTBEAT_MS);
+  private final Set<String> departed = new HashSet<>();
   private Map<String, WorkerDescriptor> listed = Map.of();
 
   private static WorkerDescriptor decode(String id, byte[] value) {
@@ -36,6 +39,14 @@
     return FakeWorkers.decode(id, value);
   }
 
+  private void startCatalog() {
+    catalog.start(
+        (workers, departedNow) -> {
+          listed = workers;
+          departed.addAll(departedNow);
+        });
+  }
+
   private boolean isListed(String... ids) {
     return time.advanceUntil(TIMEOUT_MS, () -> listed.keySet().equals(Set.of(ids)));
   }
@@ -60,7 +71,7 @@
     store.put(KeyedStream.WORKERS, "m", ODD);
     store.put(KeyedStream.WORKERS, "z", READY);
 
-    catalog.start(workers -> listed = workers);
+    startCatalog();
 
     assertThat(isListed("a", "z")).isTrue();
     store.put(KeyedStream.WORKERS, "later", READY);
@@ -71,7 +82,7 @@
   @Test
   void entryThatCannotBeDecodedLaterHidesNoOtherWorker() {
     store.put(KeyedStream.WORKERS, "a", READY);
-    catalog.start(workers -> listed = workers);
+    startCatalog();
     assertThat(isListed("a")).isTrue();
 
     store.put(KeyedStream.WORKERS, "m", ODD);
@@ -87,7 +98,7 @@
   void workerWhoseEntryCannotBeDecodedIsNotListedUntilItIsReplaced() {
     store.put(KeyedStream.WORKERS, "a", READY);
     store.put(KeyedStream.WORKERS, "b", READY);
-    catalog.start(workers -> listed = workers);
+    startCatalog();
     assertThat(isListed("a", "b")).isTrue();
 
     store.put(KeyedStream.WORKERS, "b", ODD);
@@ -104,7 +115,7 @@
     store.put(KeyedStream.WORKERS, "odd-entry", ODD);
     captureLog();
 
-    catalog.start(workers -> listed = workers);
+    startCatalog();
     assertThat(isListed("a")).isTrue();
     for (int i = 0; i < 20; i++) {
       store.put(KeyedStream.WORKERS, "odd-entry", ("odd" + i).getBytes(UTF_8));
@@ -126,7 +137,7 @@
     }
     ids.forEach(id -> store.put(KeyedStream.WORKERS, id, READY));
 
-    catalog.start(workers -> listed = workers);
+    startCatalog();
     time.advance(1_000);
     assertThat(listed.keySet()).containsExactlyElementsIn(ids).inOrder();
 
@@ -135,4 +146,74 @@
     time.advance(1_000);
     assertThat(listed.keySet()).containsExactlyElementsIn(ids).inOrder();
   }
+
+  /** Lists a worker, and removes its entry after some time without a heartbeat. */
+  private void listAndRemoveAfter(long silentMs) {
+    startCatalog();
+    time.advance(1_000);
+    store.put(KeyedStream.WORKERS, "a", READY);
+    time.advance(silentMs);
+    store.put(KeyedStream.WORKERS, "a", new byte[0]);
+    time.advance(1_000);
+    assertThat(listed).isEmpty();
+  }
+
+  @Test
+  void workerWhoseEntryIsRemovedSoonAfterItsHeartbeatHasDeparted() {
+    listAndRemoveAfter(FakeWorkers.HEARTBEAT_MS);
+
+    assertThat(departed).containsExactly("a");
+  }
+
+  // Guards against an expired entry that passes for the departure of its worker.
+  @Test
+  void workerWhoseEntryExpiresHasNotDeparted() {
+    listAndRemoveAfter(3 * FakeWorkers.HEARTBEAT_MS);
+
+    assertThat(departed).isEmpty();
+  }
+
+  // Guards against an expired entry that looks fresh, since the steady clock stood still.
+  @Test
+  void entryThatExpiresWhileTheHostIsSuspendedIsNoDeparture() {
+    time.after(2_000, () -> loop.suspend(4_000));
+
+    listAndRemoveAfter(3 * FakeWorkers.HEARTBEAT_MS);
+    time.advance(4_000);
+
+    assertThat(departed).isEmpty();
+  }
+
+  @Test
+  void entryThatIsRemovedAroundOutageOfTheStoreIsNoDeparture() {
+    time.after(1_500, () -> store.setUnresponsive(true));
+    time.after(2_200, () -> store.setUnresponsive(false));
+
+    listAndRemoveAfter(FakeWorkers.HEARTBEAT_MS);
+
+    assertThat(departed).isEmpty();
+  }
+
+  @Test
+  void workerOfTheFirstLoadWhoseHeartbeatIsUnknownHasNotDeparted() {
+    store.put(KeyedStream.WORKERS, "a", READY);
+    startCatalog();
+    time.advance(1_000);
+    store.put(KeyedStream.WORKERS, "a", new byte[0]);
+
+    assertThat(isListed()).isTrue();
+    assertThat(departed).isEmpty();
+  }
+
+  @Test
+  void workerWhoseEntryBecomesUnusableHasNotDeparted() {
+    startCatalog();
+    time.advance(1_000);
+    store.put(KeyedStream.WORKERS, "a", READY);
+    assertThat(isListed("a")).isTrue();
+    store.put(KeyedStream.WORKERS, "a", ODD);
+
+    assertThat(isListed()).isTrue();
+    assertThat(departed).isEmpty();
+  }
 }
