--- a/daemon/src/main/java/org/hickorymoor/daemon/http/HttpApiServer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/HttpApiServer.java
@@ -5,12 +5,9 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.server.Handler;
-import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.hickorymoor.protocol.caller.ErrorTypes;
@@ -30,7 +27,6 @@
   private static final int MIN_THREADS = 2;
   private static final int THREAD_IDLE_TIMEOUT_MS = 30_000;
   private static final int CONNECTION_IDLE_TIMEOUT_MS = 120_000;
-  private static final int ACCEPT_QUEUE_SIZE = 512;
   private static final long IN_FLIGHT_POLL_MS = 20;
 
   /** Handles the requests for some of the paths. */
@@ -52,7 +48,7 @@
   private final List<Resource> resources;
   private final AtomicInteger inFlight = new AtomicInteger();
   private @Nullable Server server;
-  private @Nullable ServerConnector connector;
+  private @Nullable GracefulConnector connector;
 
   HttpApiServer(String bindHost, int port, List<Resource> resources) {
     this.bindHost = bindHost;
@@ -71,7 +67,8 @@
     threads.setName("http");
     threads.setReservedThreads(0);
     Server starting = new Server(threads);
-    ServerConnector listening = connector(starting);
+    GracefulConnector listening =
+        new GracefulConnector(starting, bindHost, port, CONNECTION_IDLE_TIMEOUT_MS);
     starting.addConnector(listening);
     starting.setHandler(new ResourceDispatcher());
     try {
@@ -94,13 +91,13 @@
   }
 
   /**
-   * Waits until no call is in flight, or until the timeout expires.
+   * Waits until no call is in flight and none can follow, or until the timeout expires.
    *
    * @param timeoutMs maximum time to wait
    */
   public void awaitCallsInFlight(long timeoutMs) {
     long endNs = System.nanoTime() + timeoutMs * 1_000_000;
-    while (inFlight.get() > 0 && System.nanoTime() < endNs) {
+    while (!isDrained() && System.nanoTime() < endNs) {
       try {
         Thread.sleep(IN_FLIGHT_POLL_MS);
       } catch (InterruptedException e) {
@@ -110,40 +107,33 @@
     }
   }
 
-  /** Closes the port to new connections; open connections are still served. */
+  /**
+   * Closes the port to new connections, and each open connection once it is idle or after its next
+   * response.
+   */
   public void stopAccepting() {
     if (connector != null) {
-      connector.close();
+      connector.drain();
     }
   }
 
+  private boolean isDrained() {
+    return inFlight.get() == 0 && (connector == null || connector.isDrained());
+  }
+
   /** Stops the server and closes all connections. */
   public void stop() {
-    Server stopping = server;
+    Server running = server;
     server = null;
-    if (stopping != null) {
+    if (running != null) {
       try {
-        stopping.stop();
+        running.stop();
       } catch (Exception e) {
         logger.atWarning().withCause(e).log("http: The server did not stop cleanly.");
       }
     }
   }
 
-  private ServerConnector connector(Server owner) {
-    HttpConfiguration configuration = new HttpConfiguration();
-    configuration.setSendServerVersion(false);
-    configuration.setSendDateHeader(false);
-    ServerConnector listening =
-        new ServerConnector(owner, 0, 1, new HttpConnectionFactory(configuration));
-    listening.setHost(bindHost);
-    listening.setPort(port);
-    listening.setIdleTimeout(CONNECTION_IDLE_TIMEOUT_MS);
-    listening.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
-    listening.setReuseAddress(true);
-    return listening;
-  }
-
   private void dispatch(HttpCall call) {
     try {
       for (Resource resource : resources) {
