--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -423,13 +423,7 @@
           if (session == null) {
             session =
                 new WorkerSession(
-                    loop,
-                    workerPort,
-                    this,
-                    descriptor,
-                    epoch,
-                    settings.leaseMs(),
-                    firstLeaseEndsNs);
+                    loop, workerPort, this, descriptor, epoch, settings, firstLeaseEndsNs);
             sessions.put(id, session);
             newWorkers.add(id);
           }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -73,6 +73,15 @@
     return stopping;
   }
 
+  /** Returns whether the run should end within some time, by the estimate of its job. */
+  boolean isExpectedToEndWithin(long ms, long nowNs) {
+    if (startedNs == 0 || task.spec().longRunning() || task.spec().estimatedMs() <= 0) {
+      return false;
+    }
+    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNs - startedNs);
+    return task.spec().estimatedMs() - elapsedMs <= ms;
+  }
+
   /** Returns whether the start of the run was sent, and the worker may not have survived it yet. */
   boolean isStarting(long nowNs) {
     return startSent
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
@@ -8,6 +8,8 @@
  * @param peerAddress ip:port where peers reach it
  * @param leaseMs lease of the runs on a worker, counted from each renewal
  * @param workerHeartbeatMs interval at which workers write their entries in the list
+ * @param workerDrainMs minimum time for which a worker that leaves as planned goes on running; one
+ *     that announces less is taken away at short notice
  * @param processors processor capacity of this host in cores; strong hosts coordinate first
  */
 public record ShardSettings(
@@ -16,6 +18,7 @@
     String peerAddress,
     long leaseMs,
     long workerHeartbeatMs,
+    long workerDrainMs,
     double processors) {
 
   /**
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.hickorymoor.daemon.port.PlatformException;
@@ -114,6 +115,12 @@
    */
   private static final long DRAINING_WORKER_LEASE_MS = 4_000;
 
+  /**
+   * Time before a worker is taken away at which its last runs are stopped; covers a slow stop and
+   * the age of the announcement.
+   */
+  private static final long EVACUATION_STOP_MS = 1_000;
+
   /** How long an acknowledgement waits for the responses to start requests. */
   private static final long ACKNOWLEDGEMENT_DELAY_MS = 50;
 
@@ -138,7 +145,7 @@
   private final TaskWorkerPort port;
   private final Listener listener;
   private final long fencingToken;
-  private final long leaseMs;
+  private final ShardSettings settings;
   private final WorkerAllocation allocation;
   private final Map<String, Placement> placements = new HashMap<>();
   private WorkerDescriptor descriptor;
@@ -191,14 +198,14 @@
       Listener listener,
       WorkerDescriptor descriptor,
       long fencingToken,
-      long leaseMs,
+      ShardSettings settings,
       long firstLeaseEndsNs) {
     this.loop = loop;
     this.port = port;
     this.listener = listener;
     this.descriptor = descriptor;
     this.fencingToken = fencingToken;
-    this.leaseMs = leaseMs;
+    this.settings = settings;
     this.leaseEndsNs = firstLeaseEndsNs;
     this.allocation = new WorkerAllocation(descriptor);
     this.crashSuspects = new CrashSuspects(loop, placements);
@@ -212,9 +219,38 @@
   void update(WorkerDescriptor newer) {
     listed = true;
     departed = false;
+    final boolean drainBegan = newer.draining() && !descriptor.draining();
     descriptor = newer;
     allocation.update(newer);
     requestReport();
+    if (drainBegan && newer.remainingMs() >= 0 && newer.remainingMs() < settings.workerDrainMs()) {
+      evacuate(newer.remainingMs());
+    }
+  }
+
+  /**
+   * Stops the runs on a worker that is taken away at short notice, so that they start elsewhere
+   * without waiting for their lease; first those that can't end in time, at last all.
+   */
+  private void evacuate(long remainingMs) {
+    logger.atInfo().log(
+        "worker: %s is taken away in %d ms, %d runs there.",
+        descriptor.id(), remainingMs, placements.size());
+    long lastStopMs = Math.max(0, remainingMs - EVACUATION_STOP_MS);
+    stopRuns(placement -> !placement.isExpectedToEndWithin(lastStopMs, loop.nowNs()));
+    loop.schedule(
+        lastStopMs,
+        () -> {
+          if (descriptor.draining()) {
+            stopRuns(placement -> true);
+          }
+        });
+  }
+
+  private void stopRuns(Predicate<Placement> condition) {
+    List.copyOf(placements.values()).stream()
+        .filter(condition)
+        .forEach(placement -> stop(placement.task));
   }
 
   /**
@@ -603,7 +639,9 @@
     long coordinatorLeaseMs =
         TimeUnit.NANOSECONDS.toMillis(listener.coordinatorLeaseEndsNs() - nowNs);
     long workerLeaseMs =
-        descriptor.draining() ? Math.min(leaseMs, DRAINING_WORKER_LEASE_MS) : leaseMs;
+        descriptor.draining()
+            ? Math.min(settings.leaseMs(), DRAINING_WORKER_LEASE_MS)
+            : settings.leaseMs();
     long lengthMs = Math.min(workerLeaseMs, coordinatorLeaseMs);
     return lengthMs <= 0 || !synced
         ? 0
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
@@ -23,7 +23,8 @@
 /** Acknowledgements of ended runs to a worker that may have restarted unnoticed. */
 final class EndAcknowledgementTest {
 
-  private static final long LEASE_MS = 6_000;
+  private static final ShardSettings SETTINGS =
+      new ShardSettings("h0", "d", "h0", 6_000, FakeWorkers.HEARTBEAT_MS, FakeWorkers.DRAIN_MS, 1);
   private static final long RUN_MS = 100;
   private static final String PAYLOAD = "payload";
 
@@ -39,7 +40,7 @@
           listener,
           Objects.requireNonNull(FakeWorkers.decode("w0", "ready".getBytes(UTF_8))),
           1,
-          LEASE_MS,
+          SETTINGS,
           0);
   private final List<TaskProgress> tasks =
       new JobProgress(
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -42,6 +42,9 @@
   /** Interval at which a worker writes its entry in the list. */
   static final long HEARTBEAT_MS = 1_500;
 
+  /** How long a worker goes on running at least after it has begun to drain. */
+  static final long DRAIN_MS = 3_000;
+
   /** How long the entry of a worker that has crashed stays in the list. */
   private static final long ENTRY_TTL_MS = 5_000;
 
@@ -361,6 +364,12 @@
     store.put(KeyedStream.WORKERS, id, "draining".getBytes(UTF_8));
   }
 
+  /** Makes a worker announce that it goes on running for at least this time. */
+  void drain(String id, long remainingMs) {
+    String entry = "draining " + CPU_MILLIS + " " + remainingMs;
+    store.put(KeyedStream.WORKERS, id, entry.getBytes(UTF_8));
+  }
+
   void outcomes(Outcomes how) {
     outcomes = how;
   }
@@ -444,8 +453,9 @@
     String[] fields = new String(value, UTF_8).split(" ");
     boolean draining = fields[0].equals("draining");
     int cpuMillis = fields.length > 1 ? Integer.parseInt(fields[1]) : CPU_MILLIS;
+    long remainingMs = fields.length > 2 ? Long.parseLong(fields[2]) : -1;
     return new WorkerDescriptor(
-        id, id, "pool", "d", "r1-1", Set.of("a"), cpuMillis, MEMORY_MB, 0, draining);
+        id, id, "pool", "d", "r1-1", Set.of("a"), cpuMillis, MEMORY_MB, 0, draining, remainingMs);
   }
 
   private static TaskWorkerPort.WorkerReply rejectedCommand(TaskWorkerPort.Outcome outcome) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LeavingWorkerTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LeavingWorkerTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.hickorymoor.domain.workload.WorkloadState;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +14,7 @@
 
   private static final int TASKS = 8;
   private static final long LEASE_MS = 6_000;
+  private static final long SHORT_NOTICE_MS = 1_800;
   private static final long ENTRY_TTL_MS = 3 * FakeWorkers.HEARTBEAT_MS;
 
   private final SimulatedCell cell = new SimulatedCell(9, 3, 4);
@@ -60,4 +62,27 @@
     assertThat(cell.time.advanceUntil(1_500, this::allTasksRun)).isTrue();
     assertThat(cell.workers.violations()).isEmpty();
   }
+
+  // Guards against tasks that wait for the lease of a worker that was taken away at short notice.
+  @Test
+  void runsOfWorkerThatIsTakenAwayAtShortNoticeStartElsewhereBeforeItIsGone() {
+    cell.workers.drain(worker, SHORT_NOTICE_MS);
+    cell.time.advance(SHORT_NOTICE_MS);
+    cell.workers.get(worker).leaveSilently();
+
+    assertThat(allTasksRun()).isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void runsThatEndBeforeTheirWorkerIsTakenAwayAreNotStopped() {
+    cell.workers.durations(() -> 400L);
+    cell.submit("h1", "short", step(TASKS, List.of(), false));
+    cell.time.advanceUntil(1_000, () -> cell.workers.running().contains("short.0.0.0"));
+    cell.workers.drain(
+        Objects.requireNonNull(cell.workers.workerOf("short.0.0.0")), SHORT_NOTICE_MS);
+    cell.awaitState("h1", "short", WorkloadState.COMPLETED, 5_000);
+
+    assertThat(cell.workers.startsOf("short.0.0.0")).isEqualTo(1);
+  }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -61,7 +61,8 @@
   void startHost(String name, double processors) {
     VirtualTime.HostEventLoop loop = time.new HostEventLoop();
     ShardSettings settings =
-        new ShardSettings(name, "d", name, 6_000, FakeWorkers.HEARTBEAT_MS, processors);
+        new ShardSettings(
+            name, "d", name, 6_000, FakeWorkers.HEARTBEAT_MS, FakeWorkers.DRAIN_MS, processors);
     ApprovalPort advice = (step, ids, withinMs) -> new CompletableFuture<>();
     Shard shard =
         new Shard(
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerDescriptor.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerDescriptor.java
@@ -15,6 +15,7 @@
  * @param memoryMb memory capacity
  * @param accelerators number of accelerators
  * @param draining whether the worker is being drained
+ * @param remainingMs minimum time that a draining worker goes on running; negative if unknown
  */
 public record WorkerDescriptor(
     String id,
@@ -26,7 +27,8 @@
     int cpuMillis,
     int memoryMb,
     int accelerators,
-    boolean draining) {
+    boolean draining,
+    long remainingMs) {
 
   /** Makes a defensive copy of the labels. */
   public WorkerDescriptor {
--- a/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
@@ -19,7 +19,7 @@
   private static WorkerAllocation worker(String id, String rack) {
     return new WorkerAllocation(
         new WorkerDescriptor(
-            id, "a", "pool", "d", rack, Set.of("a", rack), 4_000, 8_000, 1, false));
+            id, "a", "pool", "d", rack, Set.of("a", rack), 4_000, 8_000, 1, false, -1));
   }
 
   private static TaskProgress task(
@@ -82,7 +82,7 @@
     assertThat(worker.isOverCommitted()).isFalse();
 
     worker.update(
-        new WorkerDescriptor("w", "a", "pool", "d", "r1-1", Set.of(), 2_000, 8_000, 1, false));
+        new WorkerDescriptor("w", "a", "pool", "d", "r1-1", Set.of(), 2_000, 8_000, 1, false, -1));
     assertThat(worker.isOverCommitted()).isTrue();
     assertThat(worker.fits(task(0, 1), 0)).isFalse();
     worker.release(task.id(), 1);
