--- a/daemon/src/main/java/org/hickorymoor/daemon/http/GracefulConnector.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/http/GracefulConnector.java
@@ -46,7 +46,10 @@
 
   private final long idleTimeoutMs;
   private final Set<SelectableChannel> accepted = ConcurrentHashMap.newKeySet();
+
+  /** Connections with a request whose response is not complete. */
   private final Set<EndPoint> active = ConcurrentHashMap.newKeySet();
+
   private volatile @Nullable ServerSocketChannel listening;
   private volatile boolean closesAfterResponses;
   private volatile boolean draining;
@@ -102,6 +105,7 @@
       if (!active.contains(endPoint)) {
         endPoint.setIdleTimeout(DRAIN_IDLE_TIMEOUT_MS);
       }
+      // A request may have begun between the check and the change.
       if (active.contains(endPoint)) {
         endPoint.setIdleTimeout(idleTimeoutMs);
       }
