Show how long runs are kept after their worker has stopped answering

Logs name both; two histograms give the time until a run counts as lost and from there to the next start. No change of what is decided.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -26,6 +26,7 @@
 import org.hickorymoor.domain.workload.QueuePolicy;
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.TaskId;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.TerminationReason;
 import org.hickorymoor.domain.workload.Urgency;
@@ -123,11 +124,19 @@
   private final Map<String, Long> failingSinceNs = new HashMap<>();
   private final CrashTolerance crashTolerance = new CrashTolerance();
   private final Map<String, byte[]> progressRecords = new HashMap<>();
+
+  /** When the latest run of a task was lost, by task, until its next run starts. */
+  private final Map<TaskId, Long> lostSinceNs = new HashMap<>();
+
   private final List<SubmissionReader> submissionReaders;
   private final EndedSubmissionCleaner submissionCleaner;
   private int partitionsLoaded;
   private boolean progressLoaded;
   private Map<String, WorkerDescriptor> workersBeforeReady = Map.of();
+
+  /** Workers that are not listed, whose runs are kept until their leases must have expired. */
+  private final Set<String> unlistedWorkers = new HashSet<>();
+
   private boolean ready;
   private boolean closed;
   private boolean placementScheduled;
@@ -432,6 +441,7 @@
       adoptPlacements(new HashSet<>(newWorkers));
     }
     listed.forEach((id, descriptor) -> sessionOf(id).update(descriptor));
+    logUnlistedWorkers(firstLeaseEndsNs);
     sessions.forEach(
         (id, session) -> {
           if (!listed.containsKey(id)) {
@@ -442,6 +452,27 @@
     schedulePlacement();
   }
 
+  private void logUnlistedWorkers(long leaseEndsNs) {
+    Map<String, Integer> runs = new HashMap<>();
+    for (Job job : jobs.values()) {
+      for (TaskProgress task : job.progress.placedTasks()) {
+        String worker = String.valueOf(task.workerId());
+        if (!sessions.containsKey(worker)) {
+          runs.merge(worker, 1, Integer::sum);
+        }
+      }
+    }
+    unlistedWorkers.retainAll(runs.keySet());
+    runs.forEach(
+        (worker, count) -> {
+          if (unlistedWorkers.add(worker)) {
+            logger.atInfo().log(
+                "worker: %s is not listed, its %d runs are kept for %d ms.",
+                worker, count, TimeUnit.NANOSECONDS.toMillis(leaseEndsNs - loop.nowNs()));
+          }
+        });
+  }
+
   private WorkerSession sessionOf(String id) {
     WorkerSession session = sessions.get(id);
     if (session == null) {
@@ -483,6 +514,8 @@
           logger.atInfo().log(
               "task: %s run %d lost: worker %s is not listed and its lease has expired.",
               task.id(), task.run(), task.workerId());
+          metrics.runLost(waitedMs);
+          lostSinceNs.put(task.id(), loop.nowNs());
           job.progress.recordRunEnd(task, TerminationReason.LAPSED, "");
           onProgressChanged(job);
           pendingJobs.add(job);
@@ -500,6 +533,10 @@
 
   @Override
   public void onRunStarted(Placement placement) {
+    Long lostNs = lostSinceNs.remove(placement.task().id());
+    if (lostNs != null) {
+      metrics.runRestarted(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - lostNs));
+    }
     Job job = jobs.get(placement.task().id().jobId());
     if (job != null && job.progress.state() == WorkloadState.QUEUED) {
       job.progress.markRunning();
@@ -601,11 +638,12 @@
   }
 
   @Override
-  public void onRunLost(Placement placement, String reason) {
-    metrics.runLost();
+  public void onRunLost(Placement placement, String reason, long silentMs) {
+    metrics.runLost(silentMs);
     TaskProgress task = placement.task();
     Job job = jobs.get(task.id().jobId());
     if (job != null && task.run() == placement.run()) {
+      lostSinceNs.put(task.id(), loop.nowNs());
       logger.atInfo().log(
           "task: %s run %d on %s lost: %s.",
           task.id(), placement.run(), placement.allocation().descriptor().id(), reason);
@@ -660,6 +698,7 @@
       submissionCleaner.jobEnded(job.id());
       cancelledJobs.remove(job.id());
       approvals.removeJob(job.id());
+      lostSinceNs.keySet().removeIf(task -> task.jobId().equals(job.id()));
     }
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -17,6 +17,8 @@
   private final Histogram firstStartMs;
   private final Histogram takeoverMs;
   private final Histogram adviceMs;
+  private final Histogram lossDetectionMs;
+  private final Histogram restartMs;
 
   /**
    * Registers the histograms; counters are registered when they are first incremented.
@@ -30,6 +32,8 @@
     firstStartMs = registry.histogram("jobs.first-start-ms");
     takeoverMs = registry.histogram("ownership.takeover-ms");
     adviceMs = registry.histogram("advice.answer-ms");
+    lossDetectionMs = registry.histogram("runs.loss-detection-ms");
+    restartMs = registry.histogram("runs.restart-ms");
   }
 
   private static String metricName(Enum<?> value) {
@@ -62,9 +66,19 @@
     registry.counter("runs." + metricName(result)).inc();
   }
 
-  /** Counts a lost run, whose end is unknown. */
-  void runLost() {
+  /**
+   * Counts a lost run, whose end is unknown.
+   *
+   * @param silentMs how long its worker had not answered this coordinator
+   */
+  void runLost(long silentMs) {
     registry.counter("runs.gone").inc();
+    lossDetectionMs.update(silentMs);
+  }
+
+  /** Records how long a task that had lost its run waited until the next one started. */
+  void runRestarted(long waitedMs) {
+    restartMs.update(waitedMs);
   }
 
   /** Counts a run that was starting when its worker crashed. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -68,8 +68,12 @@
     /** The worker has survived the start of a run that was suspected of crashing another. */
     void onStartSurvived(Placement placement);
 
-    /** A run is lost: how it ended is unknown. */
-    void onRunLost(Placement placement, String reason);
+    /**
+     * A run is lost: how it ended is unknown.
+     *
+     * @param silentMs how long the worker had not answered before; 0 if it has just answered
+     */
+    void onRunLost(Placement placement, String reason, long silentMs);
 
     /** Runs a task once everything reported so far is stored. */
     void runAfterStored(Runnable task);
@@ -179,6 +183,10 @@
   private final CrashSuspects crashSuspects;
 
   private int consecutiveFailures;
+
+  /** Time of the latest answer; of the creation of this session before the first one. */
+  private long answeredNs;
+
   private long incarnationMs = -1;
   private long clockMs;
   private long clockAtNs;
@@ -207,6 +215,7 @@
     this.fencingToken = fencingToken;
     this.settings = settings;
     this.leaseEndsNs = firstLeaseEndsNs;
+    this.answeredNs = loop.nowNs();
     this.allocation = new WorkerAllocation(descriptor);
     this.crashSuspects = new CrashSuspects(loop, placements);
   }
@@ -695,7 +704,8 @@
             if (!listed && processEnded) {
               onCrash("it refuses connections and its entry was removed", false);
             }
-            markAllLost("its lease has expired and the worker does not answer");
+            markAllLost(
+                "its lease has expired and the worker has not answered for " + silentMs() + " ms");
           }
           if (retriesCalls()) {
             sendReportRequest(0);
@@ -754,16 +764,21 @@
   private void markAllLost(String reason) {
     for (Placement placement : List.copyOf(placements.values())) {
       remove(placement);
-      listener.onRunLost(placement, reason);
+      listener.onRunLost(placement, reason, silentMs());
     }
   }
 
+  private long silentMs() {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - answeredNs);
+  }
+
   private void onReport(Report report, long sentNs) {
     final boolean recovered = consecutiveFailures > 0 || !synced;
     if (consecutiveFailures > 0) {
       logger.atInfo().log("worker: %s answers again.", descriptor.id());
     }
     consecutiveFailures = 0;
+    answeredNs = loop.nowNs();
     processEnded = false;
     crashReported = false;
     incarnationConfirmed = true;
@@ -877,7 +892,7 @@
       }
       if (placement.acknowledged && placement.acknowledgedNs - sentNs <= 0) {
         remove(placement);
-        listener.onRunLost(placement, "missing from the worker's report");
+        listener.onRunLost(placement, "missing from the worker's report", silentMs());
       } else if (placement.unanswered
           && placement.unansweredSinceNs - sentNs <= 0
           && !placement.stopAcknowledged
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
@@ -240,7 +240,7 @@
     public void onStartSurvived(Placement placement) {}
 
     @Override
-    public void onRunLost(Placement placement, String reason) {
+    public void onRunLost(Placement placement, String reason, long silentMs) {
       lost.add(placement.task().id().toString());
     }
 
