--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -182,6 +182,11 @@
       blockedHosts.add(host);
     }
 
+    /** Lets the calls of one host through again. */
+    void unblock(String host) {
+      blockedHosts.remove(host);
+    }
+
     /** Sets the share of starts and stops that are carried out seconds later and not answered. */
     void delayStartsAndStops(double share) {
       delayedRequestShare = share;
