Suspect no adopted run of the crash of its worker

A successor doesn't know since when the runs that it adopts have been running. If their worker was gone, each of them counted as starting, was suspected of the crash although that added no evidence, and their tasks were started one after the other, each alone for the time of a startup.

Runs that are adopted are no longer suspected: the coordinator that started them had to be missed for longer than a startup takes before another one was elected.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CrashSuspects.java
@@ -113,7 +113,7 @@
 
   /**
    * Suspects the runs that are starting now, since the worker has stopped answering or has
-   * restarted.
+   * restarted. An adopted run isn't suspected: as a rule it started long before.
    *
    * @param firstSymptom what shows this
    * @param reported tasks of which the worker has reported a run since
@@ -123,7 +123,9 @@
     symptomNs = loop.nowNs();
     placements.forEach(
         (task, placement) -> {
-          if (placement.isStarting(loop.nowNs()) && !reported.contains(task)) {
+          if (!placement.adopted
+              && placement.isStarting(loop.nowNs())
+              && !reported.contains(task)) {
             suspects.add(placement);
           }
         });
@@ -131,8 +133,8 @@
 
   /**
    * Returns how strongly the crash of the worker speaks against a suspect. A start that may not
-   * have arrived, a run that may have been over when the process ended, and an adopted run, which
-   * may have started long before, say nothing about the task.
+   * have arrived, and a run that may have been over when the process ended, say nothing about the
+   * task.
    *
    * @param certain whether the worker's process has certainly ended
    */
@@ -140,7 +142,7 @@
     if (suspect.startedNs == 0 && suspect.silentSinceStart) {
       return CrashEvidence.LIKELY;
     }
-    if (suspect.startedNs == 0 || !symptom.ended || suspect.adopted) {
+    if (suspect.startedNs == 0 || !symptom.ended) {
       return CrashEvidence.UNCERTAIN;
     }
     if (!certain) {
