Shorten the wait for leases of a coordinator whose process has ended

A host's process now stores its start, with the newest epoch that it found. Terms of the host up to that epoch belong to a process that had ended before, and the leases that it granted end within one lease of the start. While runs wait for such leases, the coordinator reads the starts. It also stores when the leases of all former terms end, so that a host that has just started, and has observed none of them, needn't wait for longer.

--- a/daemon/src/main/java/org/hickorymoor/daemon/port/KeyedStream.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/KeyedStream.java
@@ -35,6 +35,8 @@
   OWNERSHIP,
   /** Addresses of the hosts. */
   HOSTS,
+  /** Latest start of each host's process. */
+  HOST_STARTS,
   /** Configuration, written by operators. */
   CONFIG,
   /** Descriptors of the workers, written by the workers. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorElection.java
@@ -70,6 +70,7 @@
   private final ShardSettings settings;
   private final Listener listener;
   private final HeartbeatHistory heartbeats;
+  private final HostStarts hostStarts;
   private volatile @Nullable CoordinatorRecord current;
   private @Nullable CoordinatorTerm term;
   private long nextOffset;
@@ -93,12 +94,17 @@
     this.log = log;
     this.settings = settings;
     this.listener = listener;
-    this.heartbeats = new HeartbeatHistory(loop);
+    this.heartbeats = new HeartbeatHistory(loop, settings.leaseMs());
+    this.hostStarts = new HostStarts(loop, log, settings, heartbeats);
   }
 
   /** Starts following the heartbeats. */
   void start() {
-    loop.execute(this::startReading);
+    loop.execute(
+        () -> {
+          hostStarts.start();
+          startReading();
+        });
   }
 
   /** Returns the latest known coordinator, which may be this host, or null if none is known. */
@@ -111,6 +117,11 @@
     return heartbeats;
   }
 
+  /** Returns the starts of hosts that this host has read. */
+  HostStarts hostStarts() {
+    return hostStarts;
+  }
+
   /** Returns whether this host is the coordinator. */
   boolean isSelf() {
     return term != null;
@@ -171,6 +182,7 @@
   /** Stops sending heartbeats, following and claiming. */
   void stop() {
     stopped = true;
+    hostStarts.stop();
     if (term != null) {
       term.stop();
     }
@@ -283,6 +295,7 @@
     nextOffset = page.endOffset();
     page.records().forEach(this::onRecord);
     CoordinatorRecord latest = current;
+    hostStarts.announce(latest == null ? 0 : latest.epoch());
     boolean abandoned = firstLoad && latest != null && isFromBeforeRestart(latest);
     firstLoad = false;
     if (latest == null || abandoned || latest.leaving()) {
@@ -346,7 +359,7 @@
       return;
     }
     lastRecordNs = loop.nowNs();
-    heartbeats.onObserved(record.epoch(), stored.offset());
+    heartbeats.onObserved(record, stored.offset());
     CoordinatorRecord previous = current;
     if (previous == null || record.epoch() >= previous.epoch()) {
       if (previous == null || record.epoch() > previous.epoch()) {
@@ -405,7 +418,7 @@
         new CoordinatorTerm(loop, log, claim, won.sentNs(), offset, new TermListener());
     term = own;
     current = claim;
-    heartbeats.onConfirmed(claim.epoch(), offset, won.sentNs());
+    heartbeats.onConfirmed(claim, offset, won.sentNs());
     listener.onElected(claim);
     own.start();
     if (!candidate) {
@@ -442,9 +455,9 @@
   /** Listens to the heartbeats of this host's term. */
   private final class TermListener implements CoordinatorTerm.Listener {
     @Override
-    public void onHeartbeatConfirmed(long epoch, long offset, long sentNs) {
+    public void onHeartbeatConfirmed(CoordinatorRecord claim, long offset, long sentNs) {
       onStoreAnswered();
-      heartbeats.onConfirmed(epoch, offset, sentNs);
+      heartbeats.onConfirmed(claim, offset, sentNs);
     }
 
     @Override
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorTerm.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorTerm.java
@@ -20,11 +20,11 @@
     /**
      * The store has confirmed a heartbeat.
      *
-     * @param epoch epoch of the term
+     * @param claim claim of the term
      * @param offset offset of the heartbeat
      * @param sentNs when it was sent, on the clock of {@link ShardEventLoop#nowNs}
      */
-    void onHeartbeatConfirmed(long epoch, long offset, long sentNs);
+    void onHeartbeatConfirmed(CoordinatorRecord claim, long offset, long sentNs);
 
     /** The store has refused a heartbeat, or not answered it. */
     void onStoreFailed(PlatformException failure);
@@ -174,7 +174,7 @@
 
   private void onConfirmed(long sentNs, long offset, boolean announcedLeaving) {
     latencies.record(loop.nowNs() - sentNs);
-    listener.onHeartbeatConfirmed(claim.epoch(), offset, sentNs);
+    listener.onHeartbeatConfirmed(claim, offset, sentNs);
     sequence++;
     confirm(sentNs, offset);
     scheduleHeartbeat(announcedLeaving == leaving ? ShardSettings.HEARTBEAT_MS : 0);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HeartbeatHistory.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HeartbeatHistory.java
@@ -2,8 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 
 /**
  * When the recent heartbeats of coordinators were appended, as observed by this host.
@@ -23,15 +24,32 @@
       TimeUnit.MILLISECONDS.toNanos(2 * MAX_LEASE_AFTER_TERM_MS);
 
   /** A heartbeat, or the claim that precedes the first one of a term. */
-  private record Heartbeat(long offset, long epoch, long observedNs) {}
+  private record Heartbeat(long offset, long epoch, String hostId, long observedNs) {}
 
   private final ShardEventLoop loop;
+  private final long leaseMs;
   private final Deque<Heartbeat> heartbeats = new ArrayDeque<>();
+
+  /** When the processes of former coordinators had ended, by epoch. */
+  private final Map<Long, Long> endedByNs = new HashMap<>();
+
+  /** The leases of terms before this one have ended by {@link #earlierLeasesEndNs}. */
+  private long boundedBeforeEpoch;
+
+  private long earlierLeasesEndNs;
+  private long shortenedNs;
   private long confirmedOffset = -1;
   private long confirmedSentNs;
 
-  HeartbeatHistory(ShardEventLoop loop) {
+  /**
+   * Creates an empty history.
+   *
+   * @param leaseMs longest lease that a coordinator grants to a worker
+   */
+  HeartbeatHistory(ShardEventLoop loop, long leaseMs) {
     this.loop = loop;
+    this.leaseMs = leaseMs;
+    this.shortenedNs = loop.nowNs();
   }
 
   /** Returns the longest time that a lease of some length on a worker's clock takes on others. */
@@ -40,15 +58,16 @@
   }
 
   /** Notes a heartbeat or claim that is stored. */
-  void onObserved(long epoch, long offset) {
+  void onObserved(CoordinatorRecord record, long offset) {
     Heartbeat newest = heartbeats.peekLast();
     if (newest != null && offset <= newest.offset()) {
       return;
     }
     long nowNs = loop.nowNs();
-    heartbeats.add(new Heartbeat(offset, epoch, nowNs));
+    heartbeats.add(new Heartbeat(offset, record.epoch(), record.hostId(), nowNs));
     while (heartbeats.size() > 1 && nowNs - heartbeats.getFirst().observedNs() > RETENTION_NS) {
       heartbeats.remove();
+      endedByNs.keySet().removeIf(epoch -> epoch < heartbeats.getFirst().epoch());
     }
   }
 
@@ -57,8 +76,8 @@
    *
    * @param sentNs when it was sent, on the clock of {@link ShardEventLoop#nowNs}
    */
-  void onConfirmed(long epoch, long offset, long sentNs) {
-    onObserved(epoch, offset);
+  void onConfirmed(CoordinatorRecord record, long offset, long sentNs) {
+    onObserved(record, offset);
     confirmedOffset = offset;
     confirmedSentNs = sentNs;
   }
@@ -83,32 +102,88 @@
     return loop.nowNs();
   }
 
+  /**
+   * Notes the start of a host's process, before which the former process of the host had ended.
+   *
+   * @param newestEpoch newest epoch before the process could claim any
+   * @param startedByNs a time by which it had started
+   */
+  void onHostStarted(String hostId, long newestEpoch, long startedByNs) {
+    for (Heartbeat heartbeat : heartbeats) {
+      if (heartbeat.hostId().equals(hostId) && heartbeat.epoch() <= newestEpoch) {
+        Long known = endedByNs.get(heartbeat.epoch());
+        if (known == null || startedByNs - known < 0) {
+          endedByNs.put(heartbeat.epoch(), startedByNs);
+          shortenedNs = loop.nowNs();
+        }
+      }
+    }
+  }
+
   /**
    * Returns when every lease must have ended that a coordinator of an epoch before the given one
    * may have granted.
    */
   long formerLeasesEndNs(long epoch) {
+    if (heartbeats.isEmpty()) {
+      return loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(MAX_LEASE_AFTER_TERM_MS);
+    }
+    long endNs = unobservedLeasesEndNs(heartbeats.getFirst());
     Heartbeat last = null;
-    for (Heartbeat heartbeat : heartbeats) {
-      if (heartbeat.epoch() >= epoch) {
-        return termEndedByNs(last, heartbeat)
-            + TimeUnit.MILLISECONDS.toNanos(MAX_LEASE_AFTER_TERM_MS);
+    for (Heartbeat next : heartbeats) {
+      if (last != null && last.epoch() < epoch && next.epoch() != last.epoch()) {
+        long termEndNs = leasesOfTermEndNs(last, next);
+        endNs = termEndNs - endNs > 0 ? termEndNs : endNs;
       }
-      last = heartbeat;
+      last = next;
     }
-    return loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(MAX_LEASE_AFTER_TERM_MS);
+    return endNs;
+  }
+
+  /** Returns when the leases must have ended that were granted in terms before the first known. */
+  private long unobservedLeasesEndNs(Heartbeat first) {
+    if (first.offset() == 0) {
+      return first.observedNs();
+    }
+    long endNs = leasesEndNs(first.observedNs());
+    boolean isBounded = boundedBeforeEpoch >= first.epoch() && earlierLeasesEndNs - endNs < 0;
+    return isBounded ? earlierLeasesEndNs : endNs;
+  }
+
+  /**
+   * Notes when the leases of all terms before an epoch must have ended, as a coordinator of that
+   * epoch has stored it.
+   */
+  void onLeasesBounded(long epoch, long endNs) {
+    boundedBeforeEpoch = epoch;
+    earlierLeasesEndNs = endNs;
+    shortenedNs = loop.nowNs();
+  }
+
+  /** Returns when {@link #formerLeasesEndNs} last became earlier. */
+  long shortenedNs() {
+    return shortenedNs;
+  }
+
+  private static long leasesEndNs(long lastHeartbeatNs) {
+    return lastHeartbeatNs + TimeUnit.MILLISECONDS.toNanos(MAX_LEASE_AFTER_TERM_MS);
   }
 
   /**
-   * Returns a time by which the last heartbeat of a term was appended.
+   * Returns when the leases must have ended that the coordinator of a term granted.
    *
-   * @param last the last one that was observed; null if none was
-   * @param next the first one of a later term
+   * @param last its last heartbeat that was observed
+   * @param next the first one of the next term
    */
-  private static long termEndedByNs(@Nullable Heartbeat last, Heartbeat next) {
+  private long leasesOfTermEndNs(Heartbeat last, Heartbeat next) {
     // Without a gap between both, no heartbeat of the term was missed.
-    return last != null && last.offset() + 1 == next.offset()
-        ? last.observedNs()
-        : next.observedNs();
+    boolean isComplete = last.offset() + 1 == next.offset();
+    long endNs = leasesEndNs(isComplete ? last.observedNs() : next.observedNs());
+    Long endedNs = endedByNs.get(last.epoch());
+    if (endedNs == null) {
+      return endNs;
+    }
+    long provenEndNs = endedNs + TimeUnit.MILLISECONDS.toNanos(maxElapsedMs(leaseMs));
+    return provenEndNs - endNs < 0 ? provenEndNs : endNs;
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -114,6 +114,7 @@
   private final ApprovalDispatcher approvalDispatcher;
   private final LedgerWriter ledger;
   private final LeaseBounds leaseBounds;
+  private final HostStarts hostStarts;
   private final Consumer<String> onSuperseded;
   private final long electedNs;
   private final Map<String, Job> jobs = new HashMap<>();
@@ -152,6 +153,7 @@
       long epoch,
       Supplier<Long> coordinatorLeaseEndsNs,
       HeartbeatHistory heartbeats,
+      HostStarts hostStarts,
       WorkerCatalog catalog,
       ApprovalDispatcher approvalDispatcher,
       ShardMetrics metrics,
@@ -182,6 +184,7 @@
             epoch,
             metrics,
             () -> onSuperseded.accept("the ledger has a newer epoch"));
+    this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
   }
 
@@ -784,6 +787,13 @@
             });
     if (ready) {
       releaseOrphanedTasks();
+      sessions.values().forEach(WorkerSession::releaseExpiredRuns);
+      leaseBounds.storeFormerTerms();
+      if (!unlistedWorkers.isEmpty()
+          || sessions.values().stream().anyMatch(WorkerSession::awaitsFormerLease)) {
+        // The wait is shorter if the process of a former coordinator has ended.
+        hostStarts.refresh();
+      }
       schedulePlacement();
     }
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LeaseBounds.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LeaseBounds.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
+import org.jspecify.annotations.Nullable;
 
 /**
  * When the leases of workers that don't answer must have ended, stored so that it outlives the
@@ -33,10 +34,17 @@
    */
   private static final long REFRESH_NS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /** Key of the bound of all leases that were granted before a term; no worker has an empty ID. */
+  private static final String FORMER_TERMS_KEY = KEY_PREFIX;
+
+  /** No lease ends later after a heartbeat of the coordinator that granted it. */
+  private static final long MAX_REMAINING_MS = 2 * HeartbeatHistory.MAX_LEASE_AFTER_TERM_MS;
+
   private static final String SEPARATOR = "\n";
 
   /** A bound that is stored, about to be stored, or about to be removed. */
   private static final class Bound {
+    private final long epoch;
     private final long endsNs;
 
     /** When the heartbeat was sent that the stored record refers to. */
@@ -45,7 +53,8 @@
     private final List<Runnable> whenRemoved = new ArrayList<>();
     private boolean removing;
 
-    Bound(long endsNs, long referenceNs) {
+    Bound(long epoch, long endsNs, long referenceNs) {
+      this.epoch = epoch;
       this.endsNs = endsNs;
       this.referenceNs = referenceNs;
     }
@@ -57,6 +66,7 @@
   private final long epoch;
   private final long electedNs;
   private final Map<String, Bound> bounds = new HashMap<>();
+  private @Nullable Bound formerTerms;
 
   /**
    * Creates the bounds of a term, which are empty until the ledger is read.
@@ -83,24 +93,62 @@
 
   /** Adds a bound that an earlier coordinator has stored. */
   void restore(String key, byte[] value) {
+    Bound bound = decode(key, value);
+    if (!key.equals(FORMER_TERMS_KEY)) {
+      bounds.put(key.substring(KEY_PREFIX.length()), bound);
+    } else if (bound.epoch < epoch) {
+      heartbeats.onLeasesBounded(bound.epoch, bound.endsNs);
+    }
+  }
+
+  /** Returns a stored bound; one that has not passed for long if the record is malformed. */
+  private Bound decode(String key, byte[] value) {
     List<String> fields = List.of(new String(value, UTF_8).split(SEPARATOR, -1));
     try {
-      long offset = Long.parseLong(fields.get(0));
-      long remainingMs = Long.parseLong(fields.get(1));
-      if (offset >= 0 && remainingMs >= 0) {
+      long storedEpoch = Long.parseLong(fields.get(0));
+      long offset = Long.parseLong(fields.get(1));
+      long remainingMs = Long.parseLong(fields.get(2));
+      if (offset >= 0 && remainingMs >= 0 && remainingMs <= MAX_REMAINING_MS) {
         long referenceNs = heartbeats.appendedByNs(offset);
         long endsNs = referenceNs + TimeUnit.MILLISECONDS.toNanos(remainingMs);
-        bounds.put(key.substring(KEY_PREFIX.length()), new Bound(endsNs, referenceNs));
-        return;
+        return new Bound(storedEpoch, endsNs, referenceNs);
       }
     } catch (NumberFormatException | IndexOutOfBoundsException e) {
-      logger.atFine().withCause(e).log("shard: Record %s is malformed.", key);
+      logger.atFine().withCause(e).log("shard: Lease bound %s is malformed.", key);
     }
-    // Unless it is removed, a successor that can read it would rely on it.
-    bounds.put(
-        key.substring(KEY_PREFIX.length()),
-        new Bound(electedNs + TimeUnit.DAYS.toNanos(1), electedNs));
     logger.atWarning().log("shard: Lease bound %s is malformed, ignored.", key);
+    return new Bound(0, electedNs + TimeUnit.DAYS.toNanos(1), electedNs);
+  }
+
+  private void mark(String key, Bound bound, long offset) {
+    long remainingMs =
+        Math.max(0, TimeUnit.NANOSECONDS.toMillis(bound.endsNs - bound.referenceNs) + 1);
+    String value = String.join(SEPARATOR, "" + epoch, "" + offset, "" + remainingMs);
+    ledger.markDirty(key, () -> value.getBytes(UTF_8));
+  }
+
+  /**
+   * Stores when the leases of all former terms must have ended, again and again until they have, so
+   * that a host that has observed none of these terms need not wait for longer.
+   */
+  void storeFormerTerms() {
+    long referenceNs = heartbeats.confirmedSentNs();
+    Bound stored = formerTerms;
+    boolean isCurrent =
+        stored != null && (stored.endsNs - stored.referenceNs < 0 || isRecent(stored, referenceNs));
+    if (!isCurrent && referenceNs - formerTermsKnownNs() > 0) {
+      formerTerms = new Bound(epoch, heartbeats.formerLeasesEndNs(epoch), referenceNs);
+      mark(FORMER_TERMS_KEY, formerTerms, heartbeats.confirmedOffset());
+    }
+  }
+
+  private static boolean isRecent(Bound stored, long referenceNs) {
+    return referenceNs - stored.referenceNs < REFRESH_NS;
+  }
+
+  private long formerTermsKnownNs() {
+    long shortenedNs = heartbeats.shortenedNs();
+    return shortenedNs - electedNs > 0 ? shortenedNs : electedNs;
   }
 
   /** Returns whether a bound is stored for a worker, so that its lease must not be renewed. */
@@ -117,34 +165,34 @@
 
   /** Stores the bound of a worker that has not answered in this term. */
   void storeFormer(String workerId) {
-    store(workerId, formerLeaseEndsNs(workerId), electedNs);
+    store(workerId, formerLeaseEndsNs(workerId), formerTermsKnownNs());
   }
 
   /**
    * Stores the bound of a worker unless a recent one is stored. Does nothing before a heartbeat is
-   * confirmed that was sent after the lease was granted: only from such a heartbeat on the clock of
+   * confirmed that was sent after the end was known: only from such a heartbeat on the clock of
    * this host, which stands still while the host is suspended, measures enough.
    *
    * @param endsNs when the lease of the worker must have ended
-   * @param grantedNs when it was last renewed
+   * @param knownNs when it was last renewed, or when the end was worked out if that is later
    */
-  void store(String workerId, long endsNs, long grantedNs) {
+  void store(String workerId, long endsNs, long knownNs) {
     long referenceNs = heartbeats.confirmedSentNs();
     Bound stored = bounds.get(workerId);
-    boolean isRecent =
-        stored != null && !stored.removing && referenceNs - stored.referenceNs < REFRESH_NS;
-    if (isRecent || referenceNs - grantedNs <= 0) {
+    boolean isNew = stored == null || stored.removing;
+    boolean isCurrent = stored != null && !stored.removing && isRecent(stored, referenceNs);
+    if (isCurrent || referenceNs - knownNs <= 0) {
       return;
     }
     long offset = heartbeats.confirmedOffset();
-    long remainingMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(endsNs - referenceNs) + 1);
-    bounds.put(workerId, new Bound(endsNs, referenceNs));
-    if (stored == null || stored.removing) {
+    Bound bound = new Bound(epoch, endsNs, referenceNs);
+    bounds.put(workerId, bound);
+    if (isNew) {
       logger.atInfo().log(
           "worker: The lease of %s ends within %d ms of the heartbeat at offset %d.",
-          workerId, remainingMs, offset);
+          workerId, TimeUnit.NANOSECONDS.toMillis(endsNs - referenceNs), offset);
     }
-    ledger.markDirty(key(workerId), () -> (offset + SEPARATOR + remainingMs).getBytes(UTF_8));
+    mark(key(workerId), bound, offset);
   }
 
   /**
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -468,6 +468,7 @@
               self.epoch(),
               election::coordinatorLeaseEndsNs,
               election.heartbeats(),
+              election.hostStarts(),
               new WorkerCatalog(loop, log, decoder, settings.workerHeartbeatMs()),
               new ApprovalDispatcher(loop, Shard.this::requestApprovals, hosts::addresses, metrics),
               metrics,
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -684,9 +684,24 @@
     leaseGrantedNs = loop.nowNs();
   }
 
-  private boolean hasLeaseExpired() {
+  /** Counts all runs as lost if the worker does not answer and its lease must have ended. */
+  void releaseExpiredRuns() {
+    if (consecutiveFailures == 0) {
+      return;
+    }
     long endsNs = synced ? leaseEndsNs : leaseBounds.formerLeaseEndsNs(descriptor.id());
-    return loop.nowNs() - endsNs > 0;
+    if (loop.nowNs() - endsNs > 0) {
+      if (!listed && processEnded) {
+        onCrash("it refuses connections and its entry was removed", false);
+      }
+      markAllLost(
+          "its lease has expired and the worker has not answered for " + silentMs() + " ms");
+    }
+  }
+
+  /** Returns whether runs wait for the end of a lease that a former coordinator granted. */
+  boolean awaitsFormerLease() {
+    return !synced && consecutiveFailures > 0 && !placements.isEmpty();
   }
 
   private void storeLeaseBound() {
@@ -740,13 +755,7 @@
           if (closed) {
             return;
           }
-          if (hasLeaseExpired()) {
-            if (!listed && processEnded) {
-              onCrash("it refuses connections and its entry was removed", false);
-            }
-            markAllLost(
-                "its lease has expired and the worker has not answered for " + silentMs() + " ms");
-          }
+          releaseExpiredRuns();
           if (retriesCalls()) {
             sendReportRequest(0);
           }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
@@ -53,7 +53,7 @@
                   1,
                   new ShardMetrics(new MetricRegistry()),
                   () -> {}),
-              new HeartbeatHistory(loop),
+              new HeartbeatHistory(loop, SETTINGS.leaseMs()),
               1));
   private final List<TaskProgress> tasks =
       new JobProgress(
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/RepeatedTakeoverTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/RepeatedTakeoverTest.java
@@ -27,6 +27,9 @@
 
   private static final long RESTART_MS = 500;
 
+  /** Longer than the election of another host. */
+  private static final long SLOW_RESTART_MS = 1_800;
+
   /** Runs another number of seeds: {@code -Dshard.seeds=N}. */
   private static final int SEEDS = Integer.getInteger("shard.seeds", 60);
 
@@ -98,6 +101,29 @@
     assertThat(cell.workers.violations()).isEmpty();
   }
 
+  // Guards against the same if another host takes over before that of the coordinator is back.
+  @Test
+  void tasksOfWorkerThatGoesWithItsCoordinatorRunElsewhereInTimeUnderAnotherHost() {
+    String coordinator = cell.awaitCoordinator();
+    remove(workerWithRuns());
+    cell.kill(coordinator);
+    cell.time.after(SLOW_RESTART_MS, () -> cell.startHost(coordinator));
+
+    assertThat(cell.time.advanceUntil(MAX_IDLE_MS, () -> allTasksRun(cell))).isTrue();
+    assertThat(cell.workers.violations()).isEmpty();
+  }
+
+  // Guards against starts one after the other: how long the lost runs had been running is unknown
+  // to the successor, which must not suspect each of them of the crash of their worker.
+  @Test
+  void tasksOfWorkerThatGoesWithItsCoordinatorStartTogether() {
+    remove(workerWithRuns());
+    killCoordinator();
+    cell.time.advanceUntil(20_000, () -> cell.workers.startsOf("job.0.0.0") == 2);
+
+    assertThat(cell.time.advanceUntil(1_000, () -> allTasksRun(cell))).isTrue();
+  }
+
   // Guards against second runs: a former coordinator may still renew leases of a worker that its
   // successors don't reach.
   @Test
