Count the lease of a coordinator from the first attempt of a heartbeat

The answer of a stored heartbeat is lost and the heartbeat is repeated: the store answers for the first attempt, which other hosts have observed.

The time of the first attempt counts, and the next heartbeat follows a repeat at once. Bounds are stored after two failed calls, or one for a worker that has not answered in the term; a session is closed when it is removed.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorTerm.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CoordinatorTerm.java
@@ -22,7 +22,7 @@
      *
      * @param claim claim of the term
      * @param offset offset of the heartbeat
-     * @param sentNs when it was sent, on the clock of {@link ShardEventLoop#nowNs}
+     * @param sentNs when it was first sent, on the clock of {@link ShardEventLoop#nowNs}
      */
     void onHeartbeatConfirmed(CoordinatorRecord claim, long offset, long sentNs);
 
@@ -57,6 +57,13 @@
   private long confirmedMs;
   private long confirmedOffset;
   private boolean heartbeatInFlight;
+
+  /** Whether the next heartbeat repeats one that may be stored already, since no answer came. */
+  private boolean repeating;
+
+  private long firstSentNs;
+  private long firstSentMs;
+  private boolean firstAnnouncedLeaving;
   private long heartbeatToken;
   private boolean leaving;
   private boolean ended;
@@ -79,7 +86,9 @@
     this.log = log;
     this.claim = claim;
     this.listener = listener;
-    confirm(sentNs, offset);
+    this.firstSentNs = sentNs;
+    this.firstSentMs = claim.sentAtMs();
+    confirm(offset);
   }
 
   void start() {
@@ -125,9 +134,9 @@
             ShardSettings.COORDINATOR_LEASE_MS - Math.max(0, suspendedMs));
   }
 
-  private void confirm(long sentNs, long offset) {
-    confirmedNs = sentNs;
-    confirmedMs = loop.nowMs() - TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - sentNs);
+  private void confirm(long offset) {
+    confirmedNs = firstSentNs;
+    confirmedMs = firstSentMs;
     confirmedOffset = offset;
   }
 
@@ -143,7 +152,11 @@
     }
     heartbeatInFlight = true;
     final long sentNs = loop.nowNs();
-    final boolean announcesLeaving = leaving;
+    if (!repeating) {
+      firstSentNs = sentNs;
+      firstSentMs = loop.nowMs();
+      firstAnnouncedLeaving = leaving;
+    }
     CoordinatorRecord heartbeat = leaving ? claim.asLeaving() : claim.sentAt(loop.nowMs());
     loop.schedule(
         Math.max(MIN_LATE_MS, LATE_FACTOR * latencies.smoothedMs()),
@@ -165,19 +178,22 @@
             return;
           }
           if (failure == null && offset != null) {
-            onConfirmed(sentNs, offset, announcesLeaving);
+            onConfirmed(sentNs, offset);
           } else if (failure != null) {
             onFailed(failure);
           }
         });
   }
 
-  private void onConfirmed(long sentNs, long offset, boolean announcedLeaving) {
+  private void onConfirmed(long sentNs, long offset) {
     latencies.record(loop.nowNs() - sentNs);
-    listener.onHeartbeatConfirmed(claim, offset, sentNs);
+    // The store answers a repeat for the first attempt, which it may have stored long before.
+    listener.onHeartbeatConfirmed(claim, offset, firstSentNs);
     sequence++;
-    confirm(sentNs, offset);
-    scheduleHeartbeat(announcedLeaving == leaving ? ShardSettings.HEARTBEAT_MS : 0);
+    confirm(offset);
+    boolean isNextDue = repeating || firstAnnouncedLeaving != leaving;
+    repeating = false;
+    scheduleHeartbeat(isNextDue ? 0 : ShardSettings.HEARTBEAT_MS);
   }
 
   private void onFailed(PlatformException failure) {
@@ -185,6 +201,7 @@
       end("another host took over: " + failure.getMessage());
       return;
     }
+    repeating = true;
     listener.onStoreFailed(failure);
     if (loop.nowNs() - leaseEndsNs() >= 0) {
       end("no heartbeat confirmed for " + ShardSettings.COORDINATOR_LEASE_MS + " ms");
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -455,7 +455,16 @@
             session.onUnlisted(departed.contains(id));
           }
         });
-    sessions.values().removeIf(WorkerSession::isRemovable);
+    sessions
+        .values()
+        .removeIf(
+            session -> {
+              boolean removable = session.isRemovable();
+              if (removable) {
+                session.close();
+              }
+              return removable;
+            });
     schedulePlacement();
   }
 
@@ -787,7 +796,7 @@
             });
     if (ready) {
       releaseOrphanedTasks();
-      sessions.values().forEach(WorkerSession::releaseExpiredRuns);
+      sessions.values().forEach(WorkerSession::checkLease);
       leaseBounds.storeFormerTerms();
       if (!unlistedWorkers.isEmpty()
           || sessions.values().stream().anyMatch(WorkerSession::awaitsFormerLease)) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -111,10 +111,10 @@
   private static final int MAX_RETRY_FACTOR = 5;
 
   /**
-   * Failed calls in a row after which the end of the worker's lease is stored; a lost answer or a
-   * restart of the network card causes fewer.
+   * Failed calls in a row after which the end of the lease is stored that this coordinator has
+   * granted; a lost answer causes fewer.
    */
-  private static final int FAILURES_BEFORE_BOUND = 3;
+  private static final int FAILURES_BEFORE_BOUND = 2;
 
   /** A healthy worker carries out a stop within 200 ms; after this time the stop is sent again. */
   private static final long STOP_RETRY_MS = 600;
@@ -684,19 +684,23 @@
     leaseGrantedNs = loop.nowNs();
   }
 
-  /** Counts all runs as lost if the worker does not answer and its lease must have ended. */
-  void releaseExpiredRuns() {
+  /**
+   * Counts all runs as lost if the worker does not answer and its lease must have ended; stores
+   * when it ends until then.
+   */
+  void checkLease() {
     if (consecutiveFailures == 0) {
       return;
     }
     long endsNs = synced ? leaseEndsNs : leaseBounds.formerLeaseEndsNs(descriptor.id());
-    if (loop.nowNs() - endsNs > 0) {
-      if (!listed && processEnded) {
-        onCrash("it refuses connections and its entry was removed", false);
-      }
-      markAllLost(
-          "its lease has expired and the worker has not answered for " + silentMs() + " ms");
+    if (loop.nowNs() - endsNs <= 0) {
+      storeLeaseBound();
+      return;
+    }
+    if (!listed && processEnded) {
+      onCrash("it refuses connections and its entry was removed", false);
     }
+    markAllLost("its lease has expired and the worker has not answered for " + silentMs() + " ms");
   }
 
   /** Returns whether runs wait for the end of a lease that a former coordinator granted. */
@@ -708,10 +712,10 @@
     if (placements.isEmpty()) {
       return;
     }
-    if (synced) {
-      leaseBounds.store(descriptor.id(), leaseEndsNs, leaseGrantedNs);
-    } else {
+    if (!synced) {
       leaseBounds.storeFormer(descriptor.id());
+    } else if (consecutiveFailures >= FAILURES_BEFORE_BOUND) {
+      leaseBounds.store(descriptor.id(), leaseEndsNs, leaseGrantedNs);
     }
   }
 
@@ -740,9 +744,7 @@
     if (hasLeft()) {
       markAllLost("the worker has left");
     }
-    if (consecutiveFailures >= FAILURES_BEFORE_BOUND) {
-      storeLeaseBound();
-    }
+    storeLeaseBound();
     if (reportInFlight) {
       return;
     }
@@ -755,7 +757,7 @@
           if (closed) {
             return;
           }
-          releaseExpiredRuns();
+          checkLease();
           if (retriesCalls()) {
             sendReportRequest(0);
           }
