Shorten no wait where heartbeats were missed between two terms

Found while reading the change and by its unit tests; callers have not seen it. A host that missed heartbeats between two terms took the proof that the process of the first one had ended for all that it missed, which may belong to a third coordinator; and while it had observed no later term it took no wait at all for the newest one. Both could end a wait before the lease (TWICE).

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HeartbeatHistory.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HeartbeatHistory.java
@@ -74,7 +74,8 @@
   /**
    * Notes that the store has confirmed a heartbeat or claim of this host.
    *
-   * @param sentNs when it was sent, on the clock of {@link ShardEventLoop#nowNs}
+   * @param sentNs a time before which it can't have been appended: when its first attempt was sent,
+   *     on the clock of {@link ShardEventLoop#nowNs}
    */
   void onConfirmed(CoordinatorRecord record, long offset, long sentNs) {
     onObserved(record, offset);
@@ -125,8 +126,9 @@
    * may have granted.
    */
   long formerLeasesEndNs(long epoch) {
-    if (heartbeats.isEmpty()) {
-      return loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(MAX_LEASE_AFTER_TERM_MS);
+    if (heartbeats.isEmpty() || heartbeats.getLast().epoch() < epoch) {
+      // The latest former term may go on.
+      return leasesEndNs(loop.nowNs());
     }
     long endNs = unobservedLeasesEndNs(heartbeats.getFirst());
     Heartbeat last = null;
@@ -176,9 +178,11 @@
    * @param next the first one of the next term
    */
   private long leasesOfTermEndNs(Heartbeat last, Heartbeat next) {
-    // Without a gap between both, no heartbeat of the term was missed.
-    boolean isComplete = last.offset() + 1 == next.offset();
-    long endNs = leasesEndNs(isComplete ? last.observedNs() : next.observedNs());
+    if (last.offset() + 1 != next.offset()) {
+      // What was missed between both may belong to another term in between.
+      return leasesEndNs(next.observedNs());
+    }
+    long endNs = leasesEndNs(last.observedNs());
     Long endedNs = endedByNs.get(last.epoch());
     if (endedNs == null) {
       return endNs;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LeaseBounds.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LeaseBounds.java
@@ -37,7 +37,7 @@
   /** Key of the bound of all leases that were granted before a term; no worker has an empty ID. */
   private static final String FORMER_TERMS_KEY = KEY_PREFIX;
 
-  /** No lease ends later after a heartbeat of the coordinator that granted it. */
+  /** Limit of a stored time; covers that a host observes a heartbeat late. */
   private static final long MAX_REMAINING_MS = 2 * HeartbeatHistory.MAX_LEASE_AFTER_TERM_MS;
 
   private static final String SEPARATOR = "\n";
@@ -123,7 +123,7 @@
   private void mark(String key, Bound bound, long offset) {
     long remainingMs =
         Math.max(0, TimeUnit.NANOSECONDS.toMillis(bound.endsNs - bound.referenceNs) + 1);
-    String value = String.join(SEPARATOR, "" + epoch, "" + offset, "" + remainingMs);
+    String value = epoch + SEPARATOR + offset + SEPARATOR + remainingMs;
     ledger.markDirty(key, () -> value.getBytes(UTF_8));
   }
 
