--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/HeartbeatHistorySuspensionTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/HeartbeatHistorySuspensionTest.java
@@ -11,6 +11,16 @@
 
 final class HeartbeatHistorySuspensionTest {
 
+  @Test
+  void suspendedHostNeverPassesBoundEarly() {
+    int passed = 0;
+    for (long seed = 1; seed <= 100; seed++) {
+      passed += new SuspendedHost(seed, false).run();
+    }
+
+    assertThat(passed).isGreaterThan(0);
+  }
+
   // As a coordinator, which has observed its own claim before it asks.
   @Test
   void suspendedHostThatHasObservedTheNextTermNeverPassesBoundEarly() {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/HeartbeatHistoryTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/HeartbeatHistoryTest.java
@@ -131,6 +131,14 @@
     assertThat(formerLeasesEndMs(2)).isEqualTo(300 + AFTER_TERM_MS);
   }
 
+  @Test
+  void formerLeasesAreCountedFromNowWhileOnlyFormerTermsAreObserved() {
+    observe(500, 1, 6);
+    time.advance(400);
+
+    assertThat(formerLeasesEndMs(2)).isEqualTo(900 + AFTER_TERM_MS);
+  }
+
   @Test
   void formerLeasesAreCountedFromTheLatestOfSeveralFormerTerms() {
     observe(500, 1, 6);
