Review: show that machines which are gone hold up approvals

With 32 machines removed for good, connections to which hang, a job of a queue with advice has nothing running for about 28 s beside six idle workers.

The list of hosts keeps machines that went without SIGTERM, and the approval requests of a step go through one of them after the other, 0.9 s each.

--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -29,6 +29,7 @@
   final Path directory;
   private final Path root;
   private final List<Host> hosts = new ArrayList<>();
+  private String adviceAddress = "";
 
   Lab(Path root, Path folder) throws IOException {
     this.root = root;
@@ -42,6 +43,10 @@
     final String name;
     final String front;
     final String readiness;
+
+    /** Where other hosts connect to it. */
+    final String peer;
+
     private final Path settings;
     private Process process;
 
@@ -51,6 +56,7 @@
       int[] ports = freePorts(ip, 4);
       front = ip + ":" + ports[0];
       readiness = ip + ":" + ports[1];
+      peer = ip + ":" + ports[3];
       settings = directory.resolve(name + ".json");
       Files.writeString(
           settings,
@@ -68,14 +74,14 @@
              "stop_timeout_ms": 200, "gang_timeout_ms": 3000, "cancel_ms": 3000,
              "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120,
              "require_fencing": false, "lease_ms": 3000},
-           "orders": "call", "advice": "",
+           "orders": "call", "advice": "%s",
            "platform": {"address": "%s", "form": "log", "writes_per_s": 800,
              "reads_per_s": 2000, "parts": 16, "append_ms": 3.0, "record_bytes": 262144,
              "call_bytes": 2097152, "keep_s": 300, "partition_mb": 200, "min_ttl_ms": 1000}}
           """
               .formatted(
                   name, ip, front, readiness, ip, ports[2], ports[3], ports[3], maxHoldMs,
-                  storeAddress));
+                  adviceAddress, storeAddress));
       hosts.add(this);
     }
 
@@ -109,6 +115,11 @@
     }
   }
 
+  /** Sets the address of the advice service for hosts that are made later. */
+  void setAdvice(String address) {
+    adviceAddress = address;
+  }
+
   Host host(String name, int number, String storeAddress, int maxHoldMs) throws IOException {
     return new Host(name, number, storeAddress, maxHoldMs);
   }
@@ -191,7 +202,12 @@
               "{\"name\":\"%s\",\"host\":\"%s\",\"path_prefix\":\"/%s/\",\"kind\":\"unsafe\","
                       .formatted(route, VIRTUAL_HOST, route)
                   + "\"timeout_ms\":3000,\"target_latency_ms\":1200,\"priority\":1,"
-                  + "\"service\":\"svc\",\"max_attempts\":3,\"stretch\":2.0}");
+                  + "\"service\":\"svc\",\"max_attempts\":3,\"stretch\":2.0"
+                  + (route.startsWith("advised")
+                      ? ",\"advice\":{\"decision_ms\":34.0,\"per_worker_ms\":0.34,"
+                          + "\"validity_ms\":2500}"
+                      : "")
+                  + "}");
     }
     return "{\"version\":"
         + version
