Review: exit with 2 if a case could not run

Without the build, or if a driver failed before its case began, the scripts exited with 1, which means that the rule was broken. The checks are unchanged.

--- a/review/standins-2/Case10.java
+++ b/review/standins-2/Case10.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -77,17 +76,8 @@
 
   private Case10() {}
 
-  public static void main(String[] args) throws Exception {
-    int exit = 2;
-    try (Lab lab = new Lab(Path.of(args[0]), Path.of(args[1]))) {
-      try {
-        exit = run(lab, !args[2].equals("0"));
-      } catch (Exception e) {
-        lab.recorder.note("could not run: " + e);
-      }
-      lab.recorder.note("exit " + exit);
-    }
-    System.exit(exit);
+  public static void main(String[] args) {
+    Lab.play(args, Case10::run);
   }
 
   private static int run(Lab lab, boolean trouble) throws Exception {
--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -53,17 +52,8 @@
 
   private Case7() {}
 
-  public static void main(String[] args) throws Exception {
-    int exit = 2;
-    try (Lab lab = new Lab(Path.of(args[0]), Path.of(args[1]))) {
-      try {
-        exit = run(lab, !args[2].equals("0"));
-      } catch (Exception e) {
-        lab.recorder.note("could not run: " + e);
-      }
-      lab.recorder.note("exit " + exit);
-    }
-    System.exit(exit);
+  public static void main(String[] args) {
+    Lab.play(args, Case7::run);
   }
 
   private static int run(Lab lab, boolean trouble) throws Exception {
--- a/review/standins-2/Case9.java
+++ b/review/standins-2/Case9.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -30,17 +29,8 @@
 
   private Case9() {}
 
-  public static void main(String[] args) throws Exception {
-    int exit = 2;
-    try (Lab lab = new Lab(Path.of(args[0]), Path.of(args[1]))) {
-      try {
-        exit = run(lab, !args[2].equals("0"));
-      } catch (Exception e) {
-        lab.recorder.note("could not run: " + e);
-      }
-      lab.recorder.note("exit " + exit);
-    }
-    System.exit(exit);
+  public static void main(String[] args) {
+    Lab.play(args, Case9::run);
   }
 
   private static int run(Lab lab, boolean trouble) throws Exception {
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -38,6 +38,28 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
   }
 
+  /** A case; returns the exit code. */
+  interface Case {
+    int run(Lab lab, boolean trouble) throws Exception;
+  }
+
+  /** Plays a case and exits: with 1 if the rule was broken, 0 if it held, 2 if it couldn't run. */
+  static void play(String[] args, Case played) {
+    int exit = 2;
+    try (Lab lab = new Lab(Path.of(args[0]), Path.of(args[1]))) {
+      try {
+        exit = played.run(lab, !args[2].equals("0"));
+      } catch (Throwable e) {
+        lab.recorder.note("could not run: " + e);
+      }
+      lab.recorder.note("exit " + exit);
+    } catch (Throwable e) {
+      System.err.println("could not run: " + e);
+      exit = 2;
+    }
+    System.exit(exit);
+  }
+
   /** A process of the deploy file. */
   final class Host {
     final String name;
