Move the choice of workers out of JobScheduler

JobScheduler had 1,022 lines and decided order, room and workers in one class. StepPlacer chooses the workers of a pass; ScheduledJob, ReadyStep and StepUrgency are classes of their own; StartLimit and TaskListener are the places where limits and accounting attach. Urgency takes expected run times and a rank within a priority, both without effect so far.

Behaviour is unchanged: the tests of the shard, of crashing tasks, of late submissions and of Urgency pass.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalCache.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalCache.java
@@ -101,6 +101,7 @@
   void request(
       Submission submission,
       StepProgress step,
+      Urgency urgency,
       List<WorkerSession> schedulable,
       ApprovalPolicy policy) {
     StepApprovals approvals = steps.computeIfAbsent(step.name(), name -> new StepApprovals());
@@ -116,7 +117,7 @@
         new ApprovalDispatcher.Request(
             step.name(),
             ids,
-            Urgency.of(submission, step, loop.nowMs()),
+            urgency,
             Math.round(policy.decisionMs() + policy.perWorkerMs() * ids.size()),
             approved -> {
               approvals.inFlight = false;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
@@ -19,11 +18,10 @@
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
-import org.hickorymoor.domain.workload.ApprovalPolicy;
 import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
-import org.hickorymoor.domain.workload.QueuePolicy;
+import org.hickorymoor.domain.workload.RunTimes;
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.Submission;
 import org.hickorymoor.domain.workload.TaskId;
@@ -69,9 +67,6 @@
   /** Wait before a job whose placement failed unexpectedly is placed again. */
   private static final long FAILED_PASS_BACKOFF_MS = 1_000;
 
-  /** Share of a worker's processor capacity that is reserved for the most urgent priority, 0. */
-  private static final double URGENT_HEADROOM_SHARE = 0.06;
-
   /**
    * How long an announced job may stay without being stored. A host gives up on a request within 3
    * seconds, and its append may still complete later; a job stored after this time is added when
@@ -81,28 +76,6 @@
 
   private static final long NO_OFFSET = -1;
 
-  /** A job with its scheduling state. */
-  private static final class Job {
-    private final JobProgress progress;
-    private final List<Runnable> deferredStarts = new ArrayList<>();
-    private WorkloadState storedState;
-    private long backoffUntilNs;
-    private boolean accepted;
-
-    Job(JobProgress progress, boolean accepted) {
-      this.progress = progress;
-      this.accepted = accepted;
-      this.storedState = progress.state();
-    }
-
-    String id() {
-      return progress.submission().jobId();
-    }
-  }
-
-  /** A step with tasks that could start now. */
-  private record ReadyStep(Job job, StepProgress step, Urgency urgency) {}
-
   private final ShardEventLoop loop;
   private final ShardMetrics metrics;
   private final KeyedLogPort log;
@@ -117,12 +90,15 @@
   private final HostStarts hostStarts;
   private final Consumer<String> onSuperseded;
   private final long electedNs;
-  private final Map<String, Job> jobs = new HashMap<>();
+  private final Map<String, ScheduledJob> jobs = new HashMap<>();
   private final Map<String, WorkloadState> endedJobs = new HashMap<>();
   private final Set<String> cancelledJobs = new HashSet<>();
-  private final Set<Job> pendingJobs = new LinkedHashSet<>();
+  private final Set<ScheduledJob> pendingJobs = new LinkedHashSet<>();
   private final Map<String, WorkerSession> sessions = new HashMap<>();
   private final ApprovalCache approvals;
+  private final StepPlacer placer;
+  private final StepUrgency urgency;
+  private final List<TaskListener> taskListeners = new ArrayList<>();
   private final Map<String, Long> failingSinceNs = new HashMap<>();
   private final CrashTolerance crashTolerance = new CrashTolerance();
   private final Map<String, byte[]> progressRecords = new HashMap<>();
@@ -170,6 +146,9 @@
     this.catalog = catalog;
     this.approvalDispatcher = approvalDispatcher;
     this.approvals = new ApprovalCache(loop, approvalDispatcher, this::onApproved);
+    this.urgency =
+        (submission, step) -> Urgency.of(submission, step, loop.nowMs(), RunTimes.DECLARED, 0);
+    this.placer = new StepPlacer(sessions, approvals, StartLimit.UNLIMITED, this::place);
     this.submissionReaders =
         KeyedStream.submissionPartitions().stream()
             .map(partition -> new SubmissionReader(loop, log, partition, this::onSubmissionRecord))
@@ -323,7 +302,7 @@
   }
 
   private void onSubmission(String jobId, StoredRecord stored, boolean isAccepted) {
-    Job existing = jobs.get(jobId);
+    ScheduledJob existing = jobs.get(jobId);
     if (existing != null && isAccepted && !existing.accepted) {
       existing.accepted = true;
       List.copyOf(existing.deferredStarts).forEach(Runnable::run);
@@ -360,8 +339,9 @@
       submissionCleaner.jobEnded(jobId);
       return;
     }
-    Job job = new Job(progress, isAccepted);
+    ScheduledJob job = new ScheduledJob(progress, isAccepted);
     jobs.put(jobId, job);
+    progress.placedTasks().forEach(task -> notifyPlaced(job, task));
     adoptPlacements(job, sessions.keySet());
     if (!isAccepted) {
       loop.schedule(ANNOUNCED_JOB_TTL_MS, () -> dropUnlessAccepted(job));
@@ -380,7 +360,7 @@
   }
 
   /** Removes a job whose submission never reached the store; none of its runs was started. */
-  private void dropUnlessAccepted(Job job) {
+  private void dropUnlessAccepted(ScheduledJob job) {
     if (closed || job.accepted || jobs.get(job.id()) != job) {
       return;
     }
@@ -390,6 +370,7 @@
       if (session != null) {
         session.withdraw(task);
       }
+      notifyReleased(job, task);
     }
     jobs.remove(job.id());
     pendingJobs.remove(job);
@@ -403,7 +384,7 @@
       return;
     }
     cancelledJobs.add(jobId);
-    Job job = jobs.get(jobId);
+    ScheduledJob job = jobs.get(jobId);
     if (job == null || job.progress.state().isFinal()) {
       return;
     }
@@ -414,7 +395,7 @@
     onProgressChanged(job);
   }
 
-  private void stopAllRuns(Job job) {
+  private void stopAllRuns(ScheduledJob job) {
     for (TaskProgress task : job.progress.placedTasks()) {
       WorkerSession session = sessions.get(String.valueOf(task.workerId()));
       if (session != null) {
@@ -480,7 +461,7 @@
     jobs.values().forEach(job -> adoptPlacements(job, newWorkers));
   }
 
-  private void adoptPlacements(Job job, Set<String> workers) {
+  private void adoptPlacements(ScheduledJob job, Set<String> workers) {
     for (TaskProgress task : job.progress.placedTasks()) {
       String worker = task.workerId();
       if (worker != null && workers.contains(worker)) {
@@ -502,7 +483,7 @@
       return;
     }
     Map<String, Integer> keptRuns = new HashMap<>();
-    for (Job job : jobs.values()) {
+    for (ScheduledJob job : jobs.values()) {
       for (TaskProgress task : job.progress.placedTasks()) {
         String worker = String.valueOf(task.workerId());
         if (sessions.containsKey(worker)) {
@@ -520,13 +501,13 @@
     leaseBounds.removeIf(worker -> !sessions.containsKey(worker) && !keptRuns.containsKey(worker));
   }
 
-  private void releaseOrphanedTask(Job job, TaskProgress task) {
+  private void releaseOrphanedTask(ScheduledJob job, TaskProgress task) {
     logger.atInfo().log(
         "task: %s run %d lost: worker %s is not listed and its lease has expired.",
         task.id(), task.run(), task.workerId());
     metrics.runLost(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs));
     lostSinceNs.put(task.id(), loop.nowNs());
-    job.progress.recordRunEnd(task, TerminationReason.LAPSED, "");
+    recordRunEnd(job, task, TerminationReason.LAPSED, "");
     onProgressChanged(job);
     pendingJobs.add(job);
   }
@@ -554,7 +535,7 @@
     if (lostNs != null) {
       metrics.runRestarted(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - lostNs));
     }
-    Job job = jobs.get(placement.task().id().jobId());
+    ScheduledJob job = jobs.get(placement.task().id().jobId());
     if (job != null && job.progress.state() == WorkloadState.QUEUED) {
       job.progress.markRunning();
       metrics.jobStarted(loop.nowMs() - job.progress.submission().acceptedAtMs());
@@ -577,7 +558,7 @@
     if (outcome == Outcome.BAD_TICKET) {
       approvals.expire(task.id().stepName(), placement.allocation().descriptor().id());
     }
-    Job job = jobs.get(task.id().jobId());
+    ScheduledJob job = jobs.get(task.id().jobId());
     if (job != null && task.run() == placement.run()) {
       endRun(job, placement, TerminationReason.STOPPED, "");
       job.backoffUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(REFUSED_START_BACKOFF_MS);
@@ -605,8 +586,9 @@
       long tookMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - placement.startedNs());
       allocation.recordSuccess(tookMs, task.spec().estimatedMs());
     }
-    Job job = jobs.get(task.id().jobId());
+    ScheduledJob job = jobs.get(task.id().jobId());
     if (job != null && task.run() == placement.run()) {
+      taskListeners.forEach(listener -> listener.onRunEnded(job, placement, endKind));
       endRun(job, placement, endKind, checkpoint);
     }
   }
@@ -622,7 +604,7 @@
   @Override
   public void onCrashSuspected(Placement placement, CrashEvidence evidence) {
     TaskProgress task = placement.task();
-    Job job = jobs.get(task.id().jobId());
+    ScheduledJob job = jobs.get(task.id().jobId());
     if (job == null || job.progress.state().isFinal()) {
       return;
     }
@@ -658,7 +640,7 @@
   public void onRunLost(Placement placement, String reason, long silentMs) {
     metrics.runLost(silentMs);
     TaskProgress task = placement.task();
-    Job job = jobs.get(task.id().jobId());
+    ScheduledJob job = jobs.get(task.id().jobId());
     if (job != null && task.run() == placement.run()) {
       lostSinceNs.put(task.id(), loop.nowNs());
       logger.atInfo().log(
@@ -668,9 +650,10 @@
     }
   }
 
-  private void endRun(Job job, Placement placement, TerminationReason endKind, String checkpoint) {
+  private void endRun(
+      ScheduledJob job, Placement placement, TerminationReason endKind, String checkpoint) {
     WorkloadState before = job.progress.state();
-    job.progress.recordRunEnd(placement.task(), endKind, checkpoint);
+    recordRunEnd(job, placement.task(), endKind, checkpoint);
     WorkloadState after = job.progress.state();
     if (before != after) {
       onJobEnded(job, "last run " + placement.task().id() + " " + endKind);
@@ -682,7 +665,30 @@
     schedulePlacement();
   }
 
-  private void onJobEnded(Job job, String cause) {
+  /** Records the end of a run; the end of one member of a gang may release all of them. */
+  private void recordRunEnd(
+      ScheduledJob job, TaskProgress task, TerminationReason endKind, String checkpoint) {
+    List<TaskProgress> placed =
+        job.progress.steps(task.id().occurrence()).get(task.id().step()).tasks().stream()
+            .filter(member -> member.phase() == TaskProgress.Phase.PLACED)
+            .toList();
+    job.progress.recordRunEnd(task, endKind, checkpoint);
+    for (TaskProgress member : placed) {
+      if (member.phase() != TaskProgress.Phase.PLACED) {
+        notifyReleased(job, member);
+      }
+    }
+  }
+
+  private void notifyPlaced(ScheduledJob job, TaskProgress task) {
+    taskListeners.forEach(listener -> listener.onTaskPlaced(job, task));
+  }
+
+  private void notifyReleased(ScheduledJob job, TaskProgress task) {
+    taskListeners.forEach(listener -> listener.onTaskReleased(job, task));
+  }
+
+  private void onJobEnded(ScheduledJob job, String cause) {
     WorkloadState state = job.progress.state();
     metrics.jobEnded(state);
     logger.atInfo().log(
@@ -693,7 +699,7 @@
     }
   }
 
-  private void onProgressChanged(Job job) {
+  private void onProgressChanged(ScheduledJob job) {
     markDirty(job);
     WorkloadState state = job.progress.state();
     boolean expired = state.isFinal() && job.progress.placedTasks().isEmpty();
@@ -702,11 +708,11 @@
     }
   }
 
-  private void markDirty(Job job) {
+  private void markDirty(ScheduledJob job) {
     ledger.markDirty(job.id(), () -> WorkloadCodec.encodeProgress(job.progress));
   }
 
-  private void onProgressStored(Job job, WorkloadState state) {
+  private void onProgressStored(ScheduledJob job, WorkloadState state) {
     job.storedState = state;
     if (state.isFinal() && job.progress.placedTasks().isEmpty()) {
       jobs.remove(job.id());
@@ -750,14 +756,14 @@
 
   /** Returns the last stored state of a job, or null if the job is unknown. */
   @Nullable WorkloadState state(String jobId) {
-    Job job = jobs.get(jobId);
+    ScheduledJob job = jobs.get(jobId);
     return job == null ? endedJobs.get(jobId) : job.storedState;
   }
 
   /** Returns the number of stored jobs of a queue of which no task has started. */
   int queuedJobs(String queue) {
     int queued = 0;
-    for (Job job : jobs.values()) {
+    for (ScheduledJob job : jobs.values()) {
       if (job.accepted
           && job.progress.state() == WorkloadState.QUEUED
           && job.progress.submission().policy().queue().equals(queue)) {
@@ -775,7 +781,7 @@
     }
     loop.schedule(TICK_INTERVAL_MS, this::tick);
     long nowMs = loop.nowMs();
-    for (Job job : jobs.values()) {
+    for (ScheduledJob job : jobs.values()) {
       if (job.progress.submission().spec().repetitions() > 0) {
         job.progress.startDueOccurrences(nowMs);
         pendingJobs.add(job);
@@ -821,9 +827,8 @@
     }
     placementPacer.passBegan();
     long nowNs = loop.nowNs();
-    long nowMs = loop.nowMs();
     List<ReadyStep> candidates = new ArrayList<>();
-    for (Job job : List.copyOf(pendingJobs)) {
+    for (ScheduledJob job : List.copyOf(pendingJobs)) {
       List<StepProgress> readySteps = job.progress.readySteps();
       if (readySteps.isEmpty()) {
         pendingJobs.remove(job);
@@ -833,16 +838,14 @@
         continue;
       }
       for (StepProgress step : readySteps) {
-        candidates.add(
-            new ReadyStep(job, step, Urgency.of(job.progress.submission(), step, nowMs)));
+        candidates.add(new ReadyStep(job, step, urgency.of(job.submission(), step)));
       }
     }
     candidates.sort(Comparator.comparing(ReadyStep::urgency));
-    Map<String, List<WorkerSession>> schedulable = new HashMap<>();
+    placer.beginPass();
     for (ReadyStep next : candidates) {
       boolean placed =
-          ShardEventLoop.runIsolated(
-              () -> placeStep(next.job(), next.step(), schedulable), "step " + next.step().name());
+          ShardEventLoop.runIsolated(() -> placer.place(next), "step " + next.step().name());
       if (!placed) {
         next.job().backoffUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(FAILED_PASS_BACKOFF_MS);
       }
@@ -851,144 +854,17 @@
   }
 
   private void onApproved(String jobId) {
-    Job job = jobs.get(jobId);
+    ScheduledJob job = jobs.get(jobId);
     if (job != null) {
       pendingJobs.add(job);
       schedulePlacement();
     }
   }
 
-  /**
-   * Places the idle tasks of a step as far as they fit.
-   *
-   * @param schedulableByService the workers in use of each service, filled on first use in a pass
-   */
-  private void placeStep(
-      Job job, StepProgress step, Map<String, List<WorkerSession>> schedulableByService) {
-    QueuePolicy policy = job.progress.submission().policy();
-    List<WorkerSession> schedulable =
-        schedulableByService.computeIfAbsent(policy.service(), this::schedulableWorkers);
-    ApprovalPolicy approvalPolicy = policy.approval();
-    List<WorkerSession> eligible =
-        approvalPolicy == null ? schedulable : approvedWorkers(step.name());
-    boolean allPlaced =
-        step.spec().gang()
-            ? placeGang(job, step, eligible)
-            : placeIndependentTasks(job, step, eligible);
-    if (!allPlaced && approvalPolicy != null) {
-      approvals.request(job.progress.submission(), step, schedulable, approvalPolicy);
-    }
-  }
-
-  private List<WorkerSession> schedulableWorkers(String service) {
-    return sessions.values().stream()
-        .filter(
-            session ->
-                session.isSchedulable()
-                    && session.allocation().descriptor().service().equals(service))
-        .toList();
-  }
-
-  private List<WorkerSession> approvedWorkers(String step) {
-    List<WorkerSession> approved = new ArrayList<>();
-    for (String worker : approvals.approvedWorkers(step)) {
-      WorkerSession session = sessions.get(worker);
-      if (session != null && session.isSchedulable()) {
-        approved.add(session);
-      }
-    }
-    return approved;
-  }
-
-  private boolean placeIndependentTasks(Job job, StepProgress step, List<WorkerSession> eligible) {
-    for (TaskProgress task : step.tasks()) {
-      if (task.phase() != TaskProgress.Phase.IDLE) {
-        continue;
-      }
-      WorkerSession best = chooseWorker(job, task, eligible, null);
-      if (best == null) {
-        holdWorker(job, task, eligible);
-        return false;
-      }
-      place(job, task, best, task.run() + 1);
-    }
-    return true;
-  }
-
-  private boolean placeGang(Job job, StepProgress step, List<WorkerSession> eligible) {
-    int run = step.highestRun() + 1;
-    // Reserves capacity for each member as it is chosen, so that two members don't count the same
-    // capacity; released if a later member finds no worker.
-    List<WorkerSession> chosen = new ArrayList<>();
-    String rack = null;
-    for (TaskProgress task : step.tasks()) {
-      WorkerSession best = chooseWorker(job, task, eligible, step.spec().sameRack() ? rack : null);
-      if (best == null) {
-        for (int i = 0; i < chosen.size(); i++) {
-          chosen.get(i).allocation().release(step.tasks().get(i).id(), run);
-        }
-        return false;
-      }
-      best.allocation().reserve(task.id(), run, task.spec());
-      rack = best.allocation().descriptor().rack();
-      chosen.add(best);
-    }
-    for (int i = 0; i < chosen.size(); i++) {
-      place(job, step.tasks().get(i), chosen.get(i), run);
-    }
-    return true;
-  }
-
-  /**
-   * Keeps a worker free of other starts for a suspected task that can start alone on none. One
-   * worker at a time suffices to keep such tasks from waiting for ever.
-   */
-  private static void holdWorker(Job job, TaskProgress task, List<WorkerSession> eligible) {
-    if (task.suspectedCrashes() == 0
-        || eligible.stream().anyMatch(session -> session.crashSuspects().isHeld())) {
-      return;
-    }
-    WorkerSession best = chooseWorker(job, task, eligible, null, session -> true);
-    if (best != null) {
-      best.crashSuspects().holdFor(task);
-    }
-  }
-
-  private static @Nullable WorkerSession chooseWorker(
-      Job job, TaskProgress task, List<WorkerSession> eligible, @Nullable String gangRack) {
-    return chooseWorker(job, task, eligible, gangRack, session -> session.isStartable(task));
-  }
-
-  private static @Nullable WorkerSession chooseWorker(
-      Job job,
-      TaskProgress task,
-      List<WorkerSession> eligible,
-      @Nullable String gangRack,
-      Predicate<WorkerSession> isUsable) {
-    boolean urgent = job.progress.submission().policy().priority() == 0;
-    WorkerSession best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (WorkerSession session : eligible) {
-      WorkerAllocation allocation = session.allocation();
-      int keepFree =
-          urgent
-              ? 0
-              : (int) Math.round(allocation.descriptor().cpuMillis() * URGENT_HEADROOM_SHARE);
-      if (!allocation.fits(task, keepFree) || !isUsable.test(session)) {
-        continue;
-      }
-      double cost = allocation.cost(task, gangRack);
-      if (cost < bestCost) {
-        best = session;
-        bestCost = cost;
-      }
-    }
-    return best;
-  }
-
-  private void place(Job job, TaskProgress task, WorkerSession session, int run) {
+  private void place(ScheduledJob job, TaskProgress task, WorkerSession session, int run) {
     String worker = session.allocation().descriptor().id();
     task.place(worker, run);
+    notifyPlaced(job, task);
     Placement placement = session.add(task);
     String ticket = approvals.ticket(task.id().stepName(), worker);
     markDirty(job);
@@ -996,7 +872,7 @@
   }
 
   private void sendStart(
-      Job job, WorkerSession session, Placement placement, @Nullable String ticket) {
+      ScheduledJob job, WorkerSession session, Placement placement, @Nullable String ticket) {
     if (!session.hasReservation(placement)) {
       return;
     }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/TaskListener.java
@@ -0,0 +1,17 @@
+package org.hickorymoor.daemon.shard;
+
+import org.hickorymoor.domain.workload.TaskProgress;
+import org.hickorymoor.domain.workload.TerminationReason;
+
+/** Receives changes of the placements of tasks, also of those adopted from earlier coordinators. */
+interface TaskListener {
+
+  /** A task is placed: from now on, its latest run may be on a worker. */
+  default void onTaskPlaced(ScheduledJob job, TaskProgress task) {}
+
+  /** The latest run of a task is certainly not on a worker any more. */
+  default void onTaskReleased(ScheduledJob job, TaskProgress task) {}
+
+  /** A run has ended as its worker reports; called before the task is released. */
+  default void onRunEnded(ScheduledJob job, Placement placement, TerminationReason reason) {}
+}
--- a/domain/src/main/java/org/hickorymoor/domain/workload/QueuePolicy.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/QueuePolicy.java
@@ -30,10 +30,10 @@
   /**
    * Returns the completion time objective of a job.
    *
-   * @param spec the job
+   * @param criticalPathMs length of the job's critical path
    * @return milliseconds after the job was accepted, or after the scheduled start of an occurrence
    */
-  public long objectiveMs(WorkloadSpec spec) {
-    return Math.round(stretch * spec.criticalPathMs()) + targetLatencyMs;
+  public long objectiveMs(long criticalPathMs) {
+    return Math.round(stretch * criticalPathMs) + targetLatencyMs;
   }
 }
--- a/domain/src/main/java/org/hickorymoor/domain/workload/Urgency.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/Urgency.java
@@ -13,9 +13,10 @@
  *
  * @param timeliness which deadline the job can still meet
  * @param priority priority of the job's queue; 0 is the highest
+ * @param shareRank 0 if the job's customer is within its share of the workers, higher if it isn't
  * @param deadlineMs Unix time of the next deadline that the job can meet
  */
-public record Urgency(Timeliness timeliness, int priority, long deadlineMs)
+public record Urgency(Timeliness timeliness, int priority, int shareRank, long deadlineMs)
     implements Comparable<Urgency> {
 
   /** Which deadline a job can still meet. */
@@ -35,42 +36,54 @@
       Comparator.<Urgency>comparingInt(
               urgency -> urgency.timeliness() == Timeliness.TOO_LATE ? 1 : 0)
           .thenComparingInt(Urgency::priority)
+          .thenComparingInt(Urgency::shareRank)
           .thenComparing(Urgency::timeliness)
           .thenComparingLong(Urgency::deadlineMs);
 
+  /** Creates an urgency for a customer within its share. */
+  public Urgency(Timeliness timeliness, int priority, long deadlineMs) {
+    this(timeliness, priority, 0, deadlineMs);
+  }
+
   /**
    * Returns the urgency of a step, assuming that it starts now.
    *
    * @param submission the job of the step
    * @param step the step
    * @param nowMs Unix time
+   * @param runTimes expected run times of the job's tasks
+   * @param shareRank rank of the job's customer
    * @return the urgency of the step
    */
-  public static Urgency of(Submission submission, StepProgress step, long nowMs) {
+  public static Urgency of(
+      Submission submission, StepProgress step, long nowMs, RunTimes runTimes, int shareRank) {
     QueuePolicy policy = submission.policy();
     WorkloadSpec spec = submission.spec();
     int occurrence = step.tasks().get(0).id().occurrence();
     long startMs = spec.repetitions() == 0 ? submission.acceptedAtMs() : spec.dueMs(occurrence);
-    long objectiveMs = policy.objectiveMs(spec);
+    long objectiveMs =
+        policy.objectiveMs(spec.criticalPathMs(index -> runTimes.expectedMs(submission, index)));
     long dueMs = startMs + objectiveMs;
     long usefulUntilMs = startMs + MAX_USEFUL_OBJECTIVES * objectiveMs;
-    long endMs = nowMs + remainingCriticalPathMs(spec.steps(), step.index());
+    long endMs = nowMs + remainingCriticalPathMs(submission, step.index(), runTimes);
     if (step.spec().longRunning() || endMs <= dueMs) {
-      return new Urgency(Timeliness.ON_TIME, policy.priority(), dueMs);
+      return new Urgency(Timeliness.ON_TIME, policy.priority(), shareRank, dueMs);
     }
     Timeliness timeliness = endMs <= usefulUntilMs ? Timeliness.LATE : Timeliness.TOO_LATE;
-    return new Urgency(timeliness, policy.priority(), usefulUntilMs);
+    return new Urgency(timeliness, policy.priority(), shareRank, usefulUntilMs);
   }
 
   /** Returns the length of the longest chain of dependent steps that starts with the given step. */
-  private static long remainingCriticalPathMs(List<StepSpec> steps, int first) {
+  private static long remainingCriticalPathMs(Submission submission, int first, RunTimes runTimes) {
+    List<StepSpec> steps = submission.spec().steps();
     long[] endMs = new long[steps.size()];
-    endMs[first] = steps.get(first).estimatedMs();
+    endMs[first] = runTimes.expectedMs(submission, first);
     long longestMs = endMs[first];
     for (int index = first + 1; index < endMs.length; index++) {
       for (int dependency : steps.get(index).dependencies()) {
         if (endMs[dependency] > 0) {
-          endMs[index] = Math.max(endMs[index], endMs[dependency] + steps.get(index).estimatedMs());
+          endMs[index] =
+              Math.max(endMs[index], endMs[dependency] + runTimes.expectedMs(submission, index));
         }
       }
       longestMs = Math.max(longestMs, endMs[index]);
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkloadSpec.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkloadSpec.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.domain.workload;
 
 import java.util.List;
+import java.util.function.IntToLongFunction;
 
 /**
  * Specification of a job: steps with dependencies that run once or on a schedule.
@@ -59,18 +60,19 @@
   }
 
   /**
-   * Returns the length of the critical path, computed from the caller's estimates.
+   * Returns the length of the critical path.
    *
+   * @param stepMs run time of the tasks of each step
    * @return milliseconds
    */
-  public long criticalPathMs() {
+  public long criticalPathMs(IntToLongFunction stepMs) {
     long[] endMs = new long[steps.size()];
     long longestMs = 0;
     for (int index = 0; index < endMs.length; index++) {
       for (int dependency : steps.get(index).dependencies()) {
         endMs[index] = Math.max(endMs[index], endMs[dependency]);
       }
-      endMs[index] += steps.get(index).estimatedMs();
+      endMs[index] += stepMs.applyAsLong(index);
       longestMs = Math.max(longestMs, endMs[index]);
     }
     return longestMs;
--- a/domain/src/test/java/org/hickorymoor/domain/workload/UrgencyTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/UrgencyTest.java
@@ -28,8 +28,17 @@
         new WorkloadSpec("payload", List.of(steps), 0, 0, 0));
   }
 
+  private static Urgency urgencyOf(Submission job, StepProgress step, long nowMs) {
+    return Urgency.of(job, step, nowMs, RunTimes.DECLARED, 0);
+  }
+
+  private static long objectiveMs(Submission job) {
+    return job.policy()
+        .objectiveMs(job.spec().criticalPathMs(step -> RunTimes.DECLARED.expectedMs(job, step)));
+  }
+
   private static Urgency urgencyOfFirstStep(Submission job, long nowMs) {
-    return Urgency.of(job, new JobProgress(job).steps(0).get(0), nowMs);
+    return urgencyOf(job, new JobProgress(job).steps(0).get(0), nowMs);
   }
 
   @Test
@@ -41,7 +50,7 @@
     assertThat(urgencyOfFirstStep(job, 4_900).timeliness()).isEqualTo(Timeliness.LATE);
     assertThat(urgencyOfFirstStep(job, 4_901).timeliness()).isEqualTo(Timeliness.TOO_LATE);
     StepProgress last = new JobProgress(job).steps(0).get(1);
-    assertThat(Urgency.of(job, last, 2_300).timeliness()).isEqualTo(Timeliness.ON_TIME);
+    assertThat(urgencyOf(job, last, 2_300).timeliness()).isEqualTo(Timeliness.ON_TIME);
   }
 
   @Test
@@ -74,7 +83,7 @@
                 new Urgency(
                     Timeliness.ON_TIME,
                     job.policy().priority(),
-                    job.acceptedAtMs() + job.policy().objectiveMs(job.spec())));
+                    job.acceptedAtMs() + objectiveMs(job)));
     int byUrgency = onTime(UrgencyTest::urgencyOfFirstStep);
 
     assertThat(byUrgency).isAtLeast(NEW_JOBS * 9 / 10);
@@ -114,7 +123,7 @@
           freeAtMs[worker] = nowMs + RUN_TIME_MS;
           long latencyMs = freeAtMs[worker] - next.acceptedAtMs();
           boolean isNew = next.acceptedAtMs() >= outageEndMs;
-          onTime += isNew && latencyMs <= next.policy().objectiveMs(next.spec()) ? 1 : 0;
+          onTime += isNew && latencyMs <= objectiveMs(next) ? 1 : 0;
         }
       }
     }
