Freeze usage reports of the worker stand-in at their millisecond

WorkerStandInTest.usageReflectsActualUsageAndIsFrozenWhileReportsAreMissing failed once in a whole run on unchanged code: a task that started in the millisecond in which the reports were frozen was reported. Changes after the freeze now count from the next millisecond.

--- a/standins/src/main/java/org/hickorymoor/standins/worker/WorkerState.java
+++ b/standins/src/main/java/org/hickorymoor/standins/worker/WorkerState.java
@@ -58,7 +58,7 @@
       ended.clear();
       waitingSyncs.clear();
       incarnation = UUID.randomUUID().toString();
-      recordUsage(nowMs);
+      recordUsage(usageChangeMs(nowMs));
     }
   }
 
@@ -87,8 +87,8 @@
         command,
         (run, nowMs) -> {
           run.throttle(nowMs, command.percent());
-          run.recordUsage(nowMs, faults, usageReportAtMs(nowMs));
-          recordUsage(nowMs);
+          run.recordUsage(usageChangeMs(nowMs), faults, usageReportAtMs(nowMs));
+          recordUsage(usageChangeMs(nowMs));
           return null;
         });
   }
@@ -232,8 +232,8 @@
     Run run = new Run(lastRunNumber, command, payload, workMs, nowMs, faults.drainPercent());
     recorder.recordStart(run, running, nowMs);
     running.add(run);
-    run.recordUsage(nowMs, faults, usageReportAtMs(nowMs));
-    recordUsage(nowMs);
+    run.recordUsage(usageChangeMs(nowMs), faults, usageReportAtMs(nowMs));
+    recordUsage(usageChangeMs(nowMs));
     return new CommandResult(CommandOutcome.DONE, null);
   }
 
@@ -330,6 +330,14 @@
     return Math.min(nowMs, usageMissingSinceMs) - settings.usageLagMs();
   }
 
+  /**
+   * Returns when a change of the usage counts. While reports are frozen, a change within the
+   * millisecond in which they were frozen counts from the next one, so that it isn't reported.
+   */
+  private long usageChangeMs(long nowMs) {
+    return faults.usageMissing() ? Math.max(nowMs, usageMissingSinceMs + 1) : nowMs;
+  }
+
   private void recordUsage(long nowMs) {
     int cpuMillis = 0;
     int memoryMb = 0;
