Add limits, shares and rates of customers to the scheduler

Cause: the coordinator knows nothing of customers, so one of them can take all workers and there is no limit on what it has running.

Change: domain.customer keeps the ledger of use, averaged dominant shares, the rate of submissions and the policy in effect; CustomerAccounting applies them as StartLimit, TaskListener and shareRank. Submissions store their customer after all other fields.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -18,6 +18,7 @@
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
+import org.hickorymoor.domain.customer.CustomerDirectory;
 import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
@@ -96,6 +97,7 @@
   private final Set<ScheduledJob> pendingJobs = new LinkedHashSet<>();
   private final Map<String, WorkerSession> sessions = new HashMap<>();
   private final ApprovalCache approvals;
+  private final CustomerAccounting customers;
   private final StepPlacer placer;
   private final StepUrgency urgency;
   private final List<TaskListener> taskListeners = new ArrayList<>();
@@ -133,6 +135,7 @@
       WorkerCatalog catalog,
       ApprovalDispatcher approvalDispatcher,
       ShardMetrics metrics,
+      Supplier<@Nullable CustomerDirectory> customerDirectory,
       Consumer<String> onSuperseded) {
     this.loop = loop;
     this.metrics = metrics;
@@ -146,9 +149,18 @@
     this.catalog = catalog;
     this.approvalDispatcher = approvalDispatcher;
     this.approvals = new ApprovalCache(loop, approvalDispatcher, this::onApproved);
+    this.customers =
+        new CustomerAccounting(
+            loop,
+            customerDirectory,
+            () -> sessions.values().stream().map(session -> session.allocation().descriptor()),
+            metrics);
+    this.taskListeners.add(customers);
     this.urgency =
-        (submission, step) -> Urgency.of(submission, step, loop.nowMs(), RunTimes.DECLARED, 0);
-    this.placer = new StepPlacer(sessions, approvals, StartLimit.UNLIMITED, this::place);
+        (submission, step) ->
+            Urgency.of(
+                submission, step, loop.nowMs(), RunTimes.DECLARED, customers.shareRank(submission));
+    this.placer = new StepPlacer(sessions, approvals, customers, this::place);
     this.submissionReaders =
         KeyedStream.submissionPartitions().stream()
             .map(partition -> new SubmissionReader(loop, log, partition, this::onSubmissionRecord))
@@ -187,6 +199,7 @@
     submissionCleaner.close();
     sessions.values().forEach(WorkerSession::close);
     sessions.clear();
+    customers.close();
   }
 
   // Loading
@@ -341,6 +354,7 @@
     }
     ScheduledJob job = new ScheduledJob(progress, isAccepted);
     jobs.put(jobId, job);
+    taskListeners.forEach(listener -> listener.onJobOpened(job));
     progress.placedTasks().forEach(task -> notifyPlaced(job, task));
     adoptPlacements(job, sessions.keySet());
     if (!isAccepted) {
@@ -373,6 +387,7 @@
       notifyReleased(job, task);
     }
     jobs.remove(job.id());
+    taskListeners.forEach(listener -> listener.onJobClosed(job));
     pendingJobs.remove(job);
     approvals.removeJob(job.id());
     ledger.markDirty(job.id(), () -> Entry.tombstone(job.id()).value());
@@ -715,7 +730,9 @@
   private void onProgressStored(ScheduledJob job, WorkloadState state) {
     job.storedState = state;
     if (state.isFinal() && job.progress.placedTasks().isEmpty()) {
-      jobs.remove(job.id());
+      if (jobs.remove(job.id()) != null) {
+        taskListeners.forEach(listener -> listener.onJobClosed(job));
+      }
       pendingJobs.remove(job);
       endedJobs.put(job.id(), state);
       submissionCleaner.jobEnded(job.id());
@@ -826,6 +843,7 @@
       return;
     }
     placementPacer.passBegan();
+    customers.beginPass();
     long nowNs = loop.nowNs();
     List<ReadyStep> candidates = new ArrayList<>();
     for (ScheduledJob job : List.copyOf(pendingJobs)) {
@@ -850,6 +868,7 @@
         next.job().backoffUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(FAILED_PASS_BACKOFF_MS);
       }
     }
+    customers.endPass();
     placementPacer.passEnded();
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hickorymoor.daemon.peer.ByteBuffers;
 import org.hickorymoor.daemon.peer.PeerErrorType;
 import org.hickorymoor.daemon.peer.PeerException;
@@ -23,6 +24,7 @@
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.WorkerRecordDecoder;
+import org.hickorymoor.domain.customer.CustomerDirectory;
 import org.hickorymoor.domain.workload.Submission;
 import org.hickorymoor.domain.workload.WorkloadState;
 import org.jspecify.annotations.Nullable;
@@ -72,6 +74,7 @@
 
   private final ShardEventLoop loop;
   private final ShardMetrics metrics;
+  private final Supplier<@Nullable CustomerDirectory> customers;
   private final ShardSettings settings;
   private final KeyedLogPort log;
   private final TaskWorkerPort workers;
@@ -98,6 +101,7 @@
    * @param peers calls other hosts
    * @param loop event loop that owns the shard's state; stopped with the shard
    * @param metrics counters and latencies of the shard
+   * @param customers gives the customers of the newest configuration; null before the first one
    */
   public Shard(
       ShardSettings settings,
@@ -107,9 +111,11 @@
       WorkerRecordDecoder decoder,
       PeerPort peers,
       ShardEventLoop loop,
-      ShardMetrics metrics) {
+      ShardMetrics metrics,
+      Supplier<@Nullable CustomerDirectory> customers) {
     this.loop = loop;
     this.metrics = metrics;
+    this.customers = customers;
     this.settings = settings;
     this.takeoverRequestedNs =
         loop.nowNs() - TimeUnit.MILLISECONDS.toNanos(TAKEOVER_REQUEST_INTERVAL_MS);
@@ -472,6 +478,7 @@
               new WorkerCatalog(loop, log, decoder, settings.workerHeartbeatMs()),
               new ApprovalDispatcher(loop, Shard.this::requestApprovals, hosts::addresses, metrics),
               metrics,
+              customers,
               election::stepDown);
       scheduler = starting;
       elected = true;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -36,6 +36,11 @@
     restartMs = registry.histogram("runs.restart-ms");
   }
 
+  /** Returns the registry of the process, for metrics that come and go. */
+  MetricRegistry registry() {
+    return registry;
+  }
+
   private static String metricName(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/TaskListener.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/TaskListener.java
@@ -3,9 +3,18 @@
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.TerminationReason;
 
-/** Receives changes of the placements of tasks, also of those adopted from earlier coordinators. */
+/**
+ * Receives changes of the placements of tasks, also of those adopted from earlier coordinators, and
+ * of the jobs that they belong to.
+ */
 interface TaskListener {
 
+  /** A job is added; called before its tasks are placed. */
+  default void onJobOpened(ScheduledJob job) {}
+
+  /** A job is removed; none of its tasks is placed any more. */
+  default void onJobClosed(ScheduledJob job) {}
+
   /** A task is placed: from now on, its latest run may be on a worker. */
   default void onTaskPlaced(ScheduledJob job, TaskProgress task) {}
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkloadCodec.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.customer.CustomerPolicy;
 import org.hickorymoor.domain.workload.ApprovalPolicy;
 import org.hickorymoor.domain.workload.JobProgress;
 import org.hickorymoor.domain.workload.QueuePolicy;
@@ -52,17 +54,44 @@
           out.packLong(submission.acceptedAtMs());
           writePolicy(out, submission.policy());
           writeSpec(out, submission.spec());
+          writeCustomer(out, submission.customer());
         });
   }
 
   static Submission decodeSubmission(byte[] packed) throws MalformedRecordException {
     try (MessageUnpacker in = open(packed)) {
-      return new Submission(in.unpackString(), in.unpackLong(), readPolicy(in), readSpec(in));
+      return new Submission(
+          in.unpackString(), in.unpackLong(), readPolicy(in), readSpec(in), readCustomer(in));
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
       throw new MalformedRecordException("submission", e);
     }
   }
 
+  /**
+   * Writes the customer after all else; readers of earlier versions ignore it. A job without one
+   * has the same record as in earlier versions.
+   */
+  private static void writeCustomer(MessagePacker out, @Nullable CustomerPolicy customer)
+      throws IOException {
+    if (customer != null) {
+      out.packString(customer.name());
+      out.packDouble(customer.weight());
+      out.packInt(customer.limit().cpuMillis());
+      out.packInt(customer.limit().memoryMb());
+      out.packInt(customer.limit().accelerators());
+    }
+  }
+
+  private static @Nullable CustomerPolicy readCustomer(MessageUnpacker in) throws IOException {
+    if (!in.hasNext()) {
+      return null;
+    }
+    return new CustomerPolicy(
+        in.unpackString(),
+        in.unpackDouble(),
+        new Resources(0, 0, in.unpackInt(), in.unpackInt(), in.unpackInt()));
+  }
+
   private static void writePolicy(MessagePacker out, QueuePolicy policy) throws IOException {
     out.packString(policy.queue());
     out.packString(policy.service());
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.shard;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,8 @@
 import org.hickorymoor.daemon.peer.PeerReply;
 import org.hickorymoor.daemon.peer.PeerRequest;
 import org.hickorymoor.daemon.port.ApprovalPort;
+import org.hickorymoor.domain.customer.CustomerDirectory;
+import org.hickorymoor.domain.customer.CustomerPolicy;
 import org.hickorymoor.domain.workload.QueuePolicy;
 import org.hickorymoor.domain.workload.StepSpec;
 import org.hickorymoor.domain.workload.Submission;
@@ -40,6 +43,12 @@
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private int relayedSubmissions;
 
+  /** Customers of the configuration that all hosts have; null before the first configuration. */
+  @Nullable CustomerDirectory customers = CustomerDirectory.EMPTY;
+
+  /** Metrics of all hosts together. */
+  final MetricRegistry metrics = new MetricRegistry();
+
   SimulatedCell(long seed, int hostCount, int workerCount) {
     time = new VirtualTime(seed);
     store = new FakeStore(time);
@@ -73,7 +82,8 @@
             FakeWorkers::decode,
             (address, request, timeoutMs) -> call(address, request, timeoutMs),
             loop,
-            new ShardMetrics(new com.codahale.metrics.MetricRegistry()));
+            new ShardMetrics(metrics),
+            () -> customers);
     hosts.put(name, new Host(loop, shard));
     shard.start();
   }
@@ -193,8 +203,15 @@
 
   /** Submits a job through a host. */
   CompletableFuture<Shard.StoreResult> submit(String host, String jobId, StepSpec... steps) {
+    return submit(host, jobId, null, steps);
+  }
+
+  /** Submits a job of a customer through a host. */
+  CompletableFuture<Shard.StoreResult> submit(
+      String host, String jobId, @Nullable CustomerPolicy customer, StepSpec... steps) {
     WorkloadSpec spec = new WorkloadSpec("payload", List.of(steps), 0, 0, 0);
-    return shard(host).submit(new Submission(jobId, host(host).loop.nowMs(), POLICY, spec), 2_800);
+    long acceptedAtMs = host(host).loop.nowMs();
+    return shard(host).submit(new Submission(jobId, acceptedAtMs, POLICY, spec, customer), 2_800);
   }
 
   /** Queries the state of a job through a host and advances time until it answers. */
--- a/domain/src/main/java/org/hickorymoor/domain/customer/package-info.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/package-info.java
@@ -1,4 +1,4 @@
-/** Ownership leases on workers, and authority over a failure domain. */
+/** Customers: their policies, the resources that they use, their limits and shares. */
 @NullMarked
 package org.hickorymoor.domain.customer;
 
