--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/WorkloadCodecTest.java
@@ -5,6 +5,8 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.hickorymoor.domain.Resources;
+import org.hickorymoor.domain.customer.CustomerPolicy;
 import org.hickorymoor.domain.workload.ApprovalPolicy;
 import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
@@ -62,6 +64,23 @@
         .isEqualTo(SUBMISSION);
   }
 
+  /** Guards against customers that are lost at a takeover, and against unreadable old records. */
+  @Test
+  void customerFollowsAllFieldsOfEarlierVersions() throws MalformedRecordException {
+    Submission withCustomer =
+        new Submission(
+            "job",
+            77,
+            SUBMISSION.policy(),
+            SUBMISSION.spec(),
+            new CustomerPolicy("ผ้า", 2.5, new Resources(0, 0, 4_000, 9_000, 2)));
+    byte[] record = WorkloadCodec.encode(withCustomer);
+    byte[] earlier = WorkloadCodec.encode(SUBMISSION);
+
+    assertThat(WorkloadCodec.decodeSubmission(record)).isEqualTo(withCustomer);
+    assertThat(Arrays.copyOf(record, earlier.length)).isEqualTo(earlier);
+  }
+
   @Test
   void progressOfEveryPlacedTaskSurvivesRoundTrip() throws MalformedRecordException {
     JobProgress job = new JobProgress(SUBMISSION);
