--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -57,7 +58,7 @@
   private final Set<String> jobsBeyondRate = new HashSet<>();
 
   /** Jobs that no token has been asked for; ordered by time of acceptance at the next pass. */
-  private final List<ScheduledJob> unratedJobs = new ArrayList<>();
+  private final Set<ScheduledJob> unratedJobs = new LinkedHashSet<>();
 
   private long passBeganNs;
   private long publishedNs;
@@ -120,8 +121,9 @@
     if (!policies.isConfigured() || unratedJobs.isEmpty()) {
       return;
     }
-    unratedJobs.sort(Comparator.comparingLong(job -> job.submission().acceptedAtMs()));
-    for (ScheduledJob job : unratedJobs) {
+    List<ScheduledJob> inOrder = new ArrayList<>(unratedJobs);
+    inOrder.sort(Comparator.comparingLong(job -> job.submission().acceptedAtMs()));
+    for (ScheduledJob job : inOrder) {
       CustomerPolicy stored = job.submission().customer();
       if (stored == null) {
         continue;
@@ -217,6 +219,7 @@
     if (stored != null) {
       openJobs.computeIfPresent(stored.name(), (name, jobs) -> jobs > 1 ? jobs - 1 : null);
       jobsBeyondRate.remove(job.id());
+      unratedJobs.remove(job);
     }
   }
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.hickorymoor.daemon.shard.SimulatedCell.step;
 
+import com.google.common.collect.Maps;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,11 +31,8 @@
   }
 
   private void configure(CustomerPolicy... policies) {
-    Map<String, CustomerPolicy> byName = new HashMap<>();
-    for (CustomerPolicy policy : policies) {
-      byName.put(policy.name(), policy);
-    }
-    cell.customers = new CustomerDirectory(++version, byName);
+    cell.customers =
+        new CustomerDirectory(++version, Maps.uniqueIndex(List.of(policies), CustomerPolicy::name));
   }
 
   private static StepSpec gang(int count) {
@@ -189,7 +187,6 @@
     cell.workers.durations(() -> 500L);
     cell.awaitCoordinator();
     cell.time.advance(2_000);
-    long beganMs = cell.time.nowMs();
     long slowestMs = 0;
     Map<String, Long> waiting = new HashMap<>();
     for (int ms = 0; ms < 10_000; ms += 10) {
@@ -205,7 +202,7 @@
       }
       cell.time.advance(10);
       for (String job : List.copyOf(waiting.keySet())) {
-        long waitedMs = cell.time.nowMs() - waiting.getOrDefault(job, beganMs);
+        long waitedMs = cell.time.nowMs() - waiting.getOrDefault(job, 0L);
         slowestMs = Math.max(slowestMs, waitedMs);
         if (cell.workers.startsOf(job + ".0.0.2") > 0) {
           waiting.remove(job);
--- a/domain/src/test/java/org/hickorymoor/domain/customer/CustomerUsageModelTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/customer/CustomerUsageModelTest.java
@@ -28,25 +28,13 @@
   }
 
   /** A run that may be on a worker, or of which a late order may still arrive there. */
-  private static final class Run {
-    private final String customer;
-    private final TaskId task;
-    private final int number;
-    private final ResourceTotals demand;
-    private boolean cutOff;
-
-    Run(String customer, TaskId task, int number, ResourceTotals demand) {
-      this.customer = customer;
-      this.task = task;
-      this.number = number;
-      this.demand = demand;
-    }
-  }
+  private record Run(String customer, TaskId task, int number, ResourceTotals demand) {}
 
   private static final class Model {
     private final Random random;
     private final Fault fault;
     private final List<Run> mayRun = new ArrayList<>();
+    private final List<Run> cutOff = new ArrayList<>();
     private final Map<String, CustomerPolicy> stored = new HashMap<>();
     private final Map<String, CustomerPolicy> expectedPolicies = new HashMap<>();
     private final EffectivePolicies policies = new EffectivePolicies();
@@ -92,16 +80,19 @@
 
     /** Returns how many of the tasks fit, by what may be on the workers. */
     private int fitting(CustomerPolicy policy, ResourceTotals demand, int wanted) {
-      List<Run> runs = mayRun.stream().filter(run -> run.customer.equals(policy.name())).toList();
       ResourceTotals sum = ResourceTotals.NONE;
-      for (Run run : runs) {
-        sum = sum.plus(run.demand);
+      int runs = 0;
+      for (Run run : mayRun) {
+        if (run.customer.equals(policy.name())) {
+          sum = sum.plus(run.demand);
+          runs++;
+        }
       }
       int count = 0;
       while (count < wanted && fits(sum = sum.plus(demand), policy.limit())) {
         count++;
       }
-      return Math.max(count, runs.isEmpty() ? 1 : 0);
+      return Math.max(count, runs == 0 ? 1 : 0);
     }
 
     private static boolean fits(ResourceTotals sum, Resources limit) {
@@ -123,21 +114,21 @@
       }
     }
 
-    private void endOneRun(boolean cutOff) {
-      List<Run> candidates = mayRun.stream().filter(run -> run.cutOff == cutOff).toList();
+    /** Ends a run, on a worker that is cut off by the end of its lease. */
+    private void endOneOf(List<Run> candidates) {
       if (!candidates.isEmpty()) {
         Run run = candidates.get(random.nextInt(candidates.size()));
         mayRun.remove(run);
+        cutOff.remove(run);
         recordReleased(run);
       }
     }
 
     private void cutOneRunOff() {
       if (!mayRun.isEmpty()) {
-        Run run = mayRun.get(random.nextInt(mayRun.size()));
-        run.cutOff = true;
+        cutOff.add(mayRun.get(random.nextInt(mayRun.size())));
         if (fault == Fault.RELEASED_BEFORE_LEASE_END) {
-          recordReleased(run);
+          recordReleased(cutOff.get(cutOff.size() - 1));
         }
       }
     }
@@ -164,18 +155,13 @@
 
     int run() {
       for (int event = 0; event < EVENTS; event++) {
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(11)) {
           case 0, 1, 2, 3 -> start(CUSTOMERS.get(random.nextInt(2)));
-          case 4, 5, 6 -> endOneRun(false);
-          case 7 -> endOneRun(true);
+          case 4, 5, 6 -> endOneOf(mayRun);
+          case 7 -> endOneOf(cutOff);
           case 8 -> cutOneRunOff();
-          default -> {
-            if (random.nextBoolean()) {
-              takeOver();
-            } else {
-              configure();
-            }
-          }
+          case 9 -> takeOver();
+          default -> configure();
         }
       }
       assertThat(starts).isGreaterThan(EVENTS / 10);
