Use learned run times in ordering, for slow workers and in evacuations

RunObserver tells which runs something can be learned from and how long they ran; LearnedRunTimes feeds the model, caches expected times by job and keeps the record `runtimes` in the ledger. Learned times are used for a queue once they have proven better than its estimates.

Workers are compared with the expected time of a run instead of its estimate. Runs that were adopted or resumed no longer count: the time since the takeover or the checkpoint made their workers look fast.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -21,7 +22,6 @@
 import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
-import org.hickorymoor.domain.workload.RunTimes;
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.Submission;
 import org.hickorymoor.domain.workload.TaskId;
@@ -99,6 +99,7 @@
   private final StepPlacer placer;
   private final StepUrgency urgency;
   private final List<TaskListener> taskListeners = new ArrayList<>();
+  private final LearnedRunTimes runTimes;
   private final Map<String, Long> failingSinceNs = new HashMap<>();
   private final CrashTolerance crashTolerance = new CrashTolerance();
   private final Map<String, byte[]> progressRecords = new HashMap<>();
@@ -146,8 +147,6 @@
     this.catalog = catalog;
     this.approvalDispatcher = approvalDispatcher;
     this.approvals = new ApprovalCache(loop, approvalDispatcher, this::onApproved);
-    this.urgency =
-        (submission, step) -> Urgency.of(submission, step, loop.nowMs(), RunTimes.DECLARED, 0);
     this.placer = new StepPlacer(sessions, approvals, StartLimit.UNLIMITED, this::place);
     this.submissionReaders =
         KeyedStream.submissionPartitions().stream()
@@ -163,6 +162,9 @@
             epoch,
             metrics,
             () -> onSuperseded.accept("the ledger has a newer epoch"));
+    this.runTimes = new LearnedRunTimes(loop, ledger, metrics, settings.runTimes());
+    this.taskListeners.add(new RunObserver(loop, runTimes));
+    this.urgency = (submission, step) -> Urgency.of(submission, step, loop.nowMs(), runTimes, 0);
     this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
   }
@@ -206,6 +208,8 @@
           public void onRecord(StoredRecord stored) {
             if (LeaseBounds.isBound(stored.key())) {
               leaseBounds.restore(stored.key(), stored.value());
+            } else if (LearnedRunTimes.isRecord(stored.key())) {
+              runTimes.restore(stored.value());
             } else {
               progressRecords.put(stored.key(), stored.value());
             }
@@ -536,6 +540,9 @@
       metrics.runRestarted(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - lostNs));
     }
     ScheduledJob job = jobs.get(placement.task().id().jobId());
+    if (job != null) {
+      taskListeners.forEach(listener -> listener.onRunStarted(job, placement));
+    }
     if (job != null && job.progress.state() == WorkloadState.QUEUED) {
       job.progress.markRunning();
       metrics.jobStarted(loop.nowMs() - job.progress.submission().acceptedAtMs());
@@ -568,6 +575,7 @@
   @Override
   public void onRunEnded(Placement placement, TerminationReason endKind, String checkpoint) {
     TaskProgress task = placement.task();
+    final ScheduledJob job = jobs.get(task.id().jobId());
     WorkerAllocation allocation = placement.allocation();
     metrics.runEnded(endKind);
     if (endKind == TerminationReason.DONE || endKind == TerminationReason.FAILED) {
@@ -584,9 +592,12 @@
         && placement.startedNs() != 0
         && !task.spec().gang()) {
       long tookMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - placement.startedNs());
-      allocation.recordSuccess(tookMs, task.spec().estimatedMs());
+      long expectedMs =
+          job != null && RunObserver.hasKnownStart(placement)
+              ? runTimes.expectedRunMs(job.submission(), placement)
+              : 0;
+      allocation.recordSuccess(tookMs, expectedMs);
     }
-    ScheduledJob job = jobs.get(task.id().jobId());
     if (job != null && task.run() == placement.run()) {
       taskListeners.forEach(listener -> listener.onRunEnded(job, placement, endKind));
       endRun(job, placement, endKind, checkpoint);
@@ -646,10 +657,19 @@
       logger.atInfo().log(
           "task: %s run %d on %s lost: %s.",
           task.id(), placement.run(), placement.allocation().descriptor().id(), reason);
+      taskListeners.forEach(listener -> listener.onRunLost(job, placement, silentMs));
       endRun(job, placement, TerminationReason.LAPSED, "");
     }
   }
 
+  @Override
+  public OptionalLong remainingMs(Placement placement, long elapsedMs) {
+    ScheduledJob job = jobs.get(placement.task().id().jobId());
+    return job == null
+        ? OptionalLong.empty()
+        : runTimes.remainingMs(job.submission(), placement, elapsedMs);
+  }
+
   private void endRun(
       ScheduledJob job, Placement placement, TerminationReason endKind, String checkpoint) {
     WorkloadState before = job.progress.state();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.shard;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.WorkerAllocation;
@@ -10,6 +11,14 @@
  */
 final class Placement {
 
+  /** Predicts when runs end. */
+  @FunctionalInterface
+  interface RemainingTimes {
+
+    /** Returns the time within which a run will end, in milliseconds; empty if it is unknown. */
+    OptionalLong remainingMs(Placement placement, long elapsedMs);
+  }
+
   static final int FULL_SPEED_PERCENT = 100;
 
   /** A run that its worker has survived for this long is not suspected of crashing it. */
@@ -21,6 +30,10 @@
   final TaskProgress task;
   final int run;
   final WorkerAllocation allocation;
+
+  /** Whether the run starts from a checkpoint of an earlier one. */
+  final boolean resumed;
+
   long acknowledgedNs = Long.MAX_VALUE;
   boolean acknowledged;
   boolean startSent;
@@ -50,6 +63,7 @@
     this.task = task;
     this.run = run;
     this.allocation = allocation;
+    this.resumed = !task.checkpoint().isEmpty();
   }
 
   TaskProgress task() {
@@ -73,13 +87,14 @@
     return stopping;
   }
 
-  /** Returns whether the run should end within some time, by the estimate of its job. */
-  boolean isExpectedToEndWithin(long ms, long nowNs) {
-    if (startedNs == 0 || task.spec().longRunning() || task.spec().estimatedMs() <= 0) {
+  /** Returns whether the run should end within some time. */
+  boolean isExpectedToEndWithin(long ms, long nowNs, RemainingTimes remainingTimes) {
+    if (startedNs == 0 || task.spec().longRunning()) {
       return false;
     }
     long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNs - startedNs);
-    return task.spec().estimatedMs() - elapsedMs <= ms;
+    OptionalLong remainingMs = remainingTimes.remainingMs(this, elapsedMs);
+    return remainingMs.isPresent() && remainingMs.getAsLong() <= ms;
   }
 
   /** Returns whether the start of the run was sent, and the worker may not have survived it yet. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -1,16 +1,21 @@
 package org.hickorymoor.daemon.shard;
 
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
+import org.hickorymoor.domain.runtime.PredictionErrors;
 import org.hickorymoor.domain.workload.TerminationReason;
 import org.hickorymoor.domain.workload.WorkloadState;
 
 /** Counters and latency histograms of a shard. Safe for use by several threads. */
 public final class ShardMetrics {
 
+  /** Errors of predictions are recorded in hundredths of a factor of two. */
+  private static final double ERROR_UNITS_PER_LOG = 100 / Math.log(2);
+
   private final MetricRegistry registry;
   private final Histogram storedMs;
   private final Histogram ledgerMs;
@@ -116,4 +121,33 @@
     registry.counter(answered ? "advice.answered" : "advice.unanswered").inc();
     adviceMs.update(TimeUnit.NANOSECONDS.toMillis(tookNs));
   }
+
+  /** Records the errors of the predictions of a finished run. */
+  void runTimePredicted(PredictionErrors errors) {
+    registry
+        .histogram("runtimes.error-learned")
+        .update(Math.round(errors.learned() * ERROR_UNITS_PER_LOG));
+    if (errors.hasEstimate()) {
+      registry
+          .histogram("runtimes.error-declared")
+          .update(Math.round(errors.declared() * ERROR_UNITS_PER_LOG));
+    }
+  }
+
+  /**
+   * Sets how much is known of run times.
+   *
+   * @param queues queues whose learned run times are better than the estimates
+   * @param images images with learned run times
+   */
+  void runTimesLearned(int queues, int images) {
+    setGauge("runtimes.queues-learned", queues);
+    setGauge("runtimes.images", images);
+  }
+
+  private void setGauge(String name, int value) {
+    DefaultSettableGauge<Integer> gauge =
+        registry.gauge(name, () -> new DefaultSettableGauge<>(value));
+    gauge.setValue(value);
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardSettings.java
@@ -1,5 +1,7 @@
 package org.hickorymoor.daemon.shard;
 
+import org.hickorymoor.domain.runtime.RunTimeSource;
+
 /**
  * Identity and timing of a host of a cell.
  *
@@ -11,6 +13,7 @@
  * @param workerDrainMs minimum time for which a worker that leaves as planned goes on running; one
  *     that announces less is taken away at short notice
  * @param processors processor capacity of this host in cores; strong hosts coordinate first
+ * @param runTimes where expected run times come from
  */
 public record ShardSettings(
     String hostId,
@@ -19,7 +22,8 @@
     long leaseMs,
     long workerHeartbeatMs,
     long workerDrainMs,
-    double processors) {
+    double processors,
+    RunTimeSource runTimes) {
 
   /**
    * Interval of the coordinator's heartbeats; a dead coordinator is detected within about 1.5 s.
@@ -52,4 +56,24 @@
 
   /** Delay before a failed call to the store is retried. */
   static final long STORE_RETRY_MS = 100;
+
+  /** Creates settings of a host that uses learned run times. */
+  public ShardSettings(
+      String hostId,
+      String domain,
+      String peerAddress,
+      long leaseMs,
+      long workerHeartbeatMs,
+      long workerDrainMs,
+      double processors) {
+    this(
+        hostId,
+        domain,
+        peerAddress,
+        leaseMs,
+        workerHeartbeatMs,
+        workerDrainMs,
+        processors,
+        RunTimeSource.LEARNED);
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/TaskListener.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/TaskListener.java
@@ -12,6 +12,16 @@
   /** The latest run of a task is certainly not on a worker any more. */
   default void onTaskReleased(ScheduledJob job, TaskProgress task) {}
 
+  /** A worker has accepted the start request of a run, or reports the run as running. */
+  default void onRunStarted(ScheduledJob job, Placement placement) {}
+
   /** A run has ended as its worker reports; called before the task is released. */
   default void onRunEnded(ScheduledJob job, Placement placement, TerminationReason reason) {}
+
+  /**
+   * A run is lost; called before the task is released.
+   *
+   * @param silentMs how long the worker had not answered before; 0 if it has just answered
+   */
+  default void onRunLost(ScheduledJob job, Placement placement, long silentMs) {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -37,7 +37,7 @@
 final class WorkerSession {
 
   /** Receives the events of a worker. */
-  interface Listener {
+  interface Listener extends Placement.RemainingTimes {
 
     /** The worker rejected a call, since it has seen a higher fencing token. */
     void onFenced(String workerId);
@@ -258,7 +258,7 @@
         "worker: %s is taken away in %d ms, %d runs there.",
         descriptor.id(), remainingMs, placements.size());
     long lastStopMs = Math.max(0, remainingMs - EVACUATION_STOP_MS);
-    stopRuns(placement -> !placement.isExpectedToEndWithin(lastStopMs, loop.nowNs()));
+    stopRuns(placement -> !placement.isExpectedToEndWithin(lastStopMs, loop.nowNs(), listener));
     loop.schedule(
         lastStopMs,
         () -> {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/EndAcknowledgementTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.domain.workload.CrashEvidence;
@@ -265,6 +266,11 @@
     @Override
     public void onWorkerSchedulable() {}
 
+    @Override
+    public OptionalLong remainingMs(Placement placement, long elapsedMs) {
+      return OptionalLong.empty();
+    }
+
     @Override
     public long coordinatorLeaseEndsNs() {
       return Long.MAX_VALUE;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LeavingWorkerTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LeavingWorkerTest.java
@@ -85,4 +85,20 @@
 
     assertThat(cell.workers.startsOf("short.0.0.0")).isEqualTo(1);
   }
+
+  // Guards against runs that are left on a worker as their callers estimate too little.
+  @Test
+  void runsThatAreKnownToOutlastTheNoticeAreStoppedAtOnce() {
+    cell.workers.durations(() -> 4_000L);
+    cell.submit("h1", "earlier", step(30, List.of(), false));
+    cell.awaitState("h1", "earlier", WorkloadState.COMPLETED, 30_000);
+    cell.submit("h1", "next", step(TASKS, List.of(), false));
+    cell.time.advanceUntil(1_000, () -> cell.workers.running().contains("next.0.0.0"));
+
+    cell.workers.drain(
+        Objects.requireNonNull(cell.workers.workerOf("next.0.0.0")), SHORT_NOTICE_MS);
+    cell.time.advance(SHORT_NOTICE_MS - 1_100);
+
+    assertThat(cell.workers.startsOf("next.0.0.0")).isEqualTo(2);
+  }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.shard;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,10 +28,12 @@
   private static final class Host {
     private final VirtualTime.HostEventLoop loop;
     private final Shard shard;
+    private final MetricRegistry registry;
 
-    Host(VirtualTime.HostEventLoop loop, Shard shard) {
+    Host(VirtualTime.HostEventLoop loop, Shard shard, MetricRegistry registry) {
       this.loop = loop;
       this.shard = shard;
+      this.registry = registry;
     }
   }
 
@@ -63,6 +66,7 @@
     ShardSettings settings =
         new ShardSettings(
             name, "d", name, 6_000, FakeWorkers.HEARTBEAT_MS, FakeWorkers.DRAIN_MS, processors);
+    MetricRegistry registry = new MetricRegistry();
     ApprovalPort advice = (step, ids, withinMs) -> new CompletableFuture<>();
     Shard shard =
         new Shard(
@@ -73,8 +77,8 @@
             FakeWorkers::decode,
             (address, request, timeoutMs) -> call(address, request, timeoutMs),
             loop,
-            new ShardMetrics(new com.codahale.metrics.MetricRegistry()));
-    hosts.put(name, new Host(loop, shard));
+            new ShardMetrics(registry));
+    hosts.put(name, new Host(loop, shard, registry));
     shard.start();
   }
 
@@ -130,6 +134,11 @@
     return host(name).loop.isDead();
   }
 
+  /** Returns the metrics of a host. */
+  MetricRegistry registry(String name) {
+    return host(name).registry;
+  }
+
   Shard shard(String name) {
     return host(name).shard;
   }
