Leave runs whose end was reported late out of run times

A run that ends while its worker is cut off, or while the coordinator waits for the store, is reported late. Its time included the wait, in what is learned and in the slowdown of its worker. A run now counts only if its report was requested within 100 ms of the one before.

LearnedRunTimesTest.runThatEndsWhileItsWorkerIsCutOffIsNotLearnedFrom fails without the change.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -593,7 +593,7 @@
         && !task.spec().gang()) {
       long tookMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - placement.startedNs());
       long expectedMs =
-          job != null && RunObserver.hasKnownStart(placement)
+          job != null && RunObserver.hasKnownTime(placement)
               ? runTimes.expectedRunMs(job.submission(), placement)
               : 0;
       allocation.recordSuccess(tookMs, expectedMs);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -21,6 +21,9 @@
 
   static final int FULL_SPEED_PERCENT = 100;
 
+  /** Usual time between two reports of a worker, while the ends in the first one are stored. */
+  private static final long USUAL_REPORT_GAP_MS = 100;
+
   /** A run that its worker has survived for this long is not suspected of crashing it. */
   static final long STARTUP_MS = 500;
 
@@ -50,6 +53,9 @@
   long unansweredSinceNs;
   long startedNs;
 
+  /** Whether the run may have ended well before its end was reported. */
+  boolean endNoticedLate;
+
   /** Whether an earlier coordinator sent the start request, so that its time is unknown. */
   boolean adopted;
 
@@ -87,6 +93,17 @@
     return stopping;
   }
 
+  /**
+   * Notes whether no report was requested for some time before the one that shows the end.
+   *
+   * @param requestedNs when the report with the end was requested
+   * @param previousNs when the report before was received
+   */
+  void recordEndReport(long requestedNs, long previousNs) {
+    long sinceNs = previousNs - startSentNs > 0 ? previousNs : startSentNs;
+    endNoticedLate = requestedNs - sinceNs > TimeUnit.MILLISECONDS.toNanos(USUAL_REPORT_GAP_MS);
+  }
+
   /** Returns whether the run should end within some time. */
   boolean isExpectedToEndWithin(long ms, long nowNs, RemainingTimes remainingTimes) {
     if (startedNs == 0 || task.spec().longRunning()) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RunObserver.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RunObserver.java
@@ -14,9 +14,10 @@
  * Tells from which runs something can be learned of run times, and for how long they ran.
  *
  * <p>Nothing is learned from failed runs, best-effort runs, which are throttled, resumed runs,
- * which do a part of the work, long-running ones, and runs that an earlier coordinator has started,
- * as it isn't known when. A gang runs from the start of its last member and counts as one run. Not
- * thread-safe; confined to the event loop thread.
+ * which do a part of the work, long-running ones, runs that an earlier coordinator has started, as
+ * it isn't known when, and runs that ended while their worker could not report it. A gang runs from
+ * the start of its last member and counts as one run. Not thread-safe; confined to the event loop
+ * thread.
  */
 final class RunObserver implements TaskListener {
 
@@ -48,14 +49,17 @@
         String.join(",", kind), dataRack != null && !dataRack.equals(worker.rack()));
   }
 
-  /** Returns whether a run has done all of its task's work since a known time. */
-  static boolean hasKnownStart(Placement placement) {
-    return placement.startedNs() != 0 && !placement.adopted && !placement.resumed;
+  /** Returns whether a run has done all of its task's work within a known time. */
+  static boolean hasKnownTime(Placement placement) {
+    return placement.startedNs() != 0
+        && !placement.adopted
+        && !placement.resumed
+        && !placement.endNoticedLate;
   }
 
   private static boolean isMeasurable(Placement placement) {
     StepSpec spec = placement.task().spec();
-    return hasKnownStart(placement) && !spec.bestEffort() && !spec.longRunning();
+    return hasKnownTime(placement) && !spec.bestEffort() && !spec.longRunning();
   }
 
   private static GangKey gangKey(TaskProgress task, int run) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -829,6 +829,7 @@
       logger.atInfo().log("worker: %s answers again.", descriptor.id());
     }
     consecutiveFailures = 0;
+    final long previousReportNs = answeredNs;
     answeredNs = loop.nowNs();
     processEnded = false;
     crashReported = false;
@@ -858,7 +859,7 @@
     }
     removeLeaseBound();
     Set<String> present = onRunningRuns(report.running());
-    onEndedRuns(report.ended());
+    onEndedRuns(report.ended(), sentNs, previousReportNs);
     if (report.complete()) {
       detectLostRuns(present, sentNs);
     }
@@ -932,7 +933,7 @@
     return loop.nowNs() - sinceNs > TimeUnit.MILLISECONDS.toNanos(ageMs);
   }
 
-  private void onEndedRuns(List<EndedRun> rows) {
+  private void onEndedRuns(List<EndedRun> rows, long sentNs, long previousReportNs) {
     for (EndedRun row : rows) {
       if (row.sequence() <= lastEndNumber) {
         continue;
@@ -941,6 +942,7 @@
       Placement placement = placements.get(row.task());
       if (placement != null && placement.run == row.run()) {
         remove(placement);
+        placement.recordEndReport(sentNs, previousReportNs);
         listener.onRunEnded(placement, row.reason(), row.checkpoint());
       }
     }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LearnedRunTimesTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LearnedRunTimesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Set;
@@ -157,6 +158,11 @@
     adoptedRun.adopted = true;
     observer.onRunEnded(adopted, adoptedRun, TerminationReason.DONE);
 
+    ScheduledJob late = job(plainStep());
+    Placement lateRun = startedRun(late);
+    lateRun.endNoticedLate = true;
+    observer.onRunEnded(late, lateRun, TerminationReason.DONE);
+
     ScheduledJob failed = job(plainStep());
     Placement failedRun = startedRun(failed);
     observer.onRunEnded(failed, failedRun, TerminationReason.FAILED);
@@ -256,6 +262,28 @@
     assertThat(store.appends() - before).isAtMost(5);
   }
 
+  // Guards against the time for which a worker was cut off that counts as run time.
+  @Test
+  void runThatEndsWhileItsWorkerIsCutOffIsNotLearnedFrom() {
+    SimulatedCell cell = new SimulatedCell(33, 1, 1);
+    cell.workers.durations(() -> 1_000L);
+    String host = cell.awaitCoordinator();
+    cell.submit(host, "usual", SimulatedCell.step(1, List.of(), false));
+    cell.awaitState(host, "usual", WorkloadState.COMPLETED, 10_000);
+    Histogram errors = cell.registry(host).histogram("runtimes.error-learned");
+    assertThat(errors.getCount()).isEqualTo(1);
+
+    cell.submit(host, "job", SimulatedCell.step(1, List.of(), false));
+    FakeWorkers.Worker cutOff = cell.awaitRun("job.0.0.0");
+    cell.time.advance(100);
+    cutOff.setDisconnected(true);
+    cell.time.advance(3_000);
+    cutOff.setDisconnected(false);
+
+    assertThat(cell.awaitState(host, "job", WorkloadState.COMPLETED, 10_000)).isTrue();
+    assertThat(errors.getCount()).isEqualTo(1);
+  }
+
   // Guards against what was learned being lost with the coordinator, and with it the order of jobs.
   @Test
   void successorUsesWhatWasLearned() {
