--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,7 +23,6 @@
 import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
-import org.hickorymoor.domain.workload.RunTimes;
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.Submission;
 import org.hickorymoor.domain.workload.TaskId;
@@ -101,6 +101,7 @@
   private final StepPlacer placer;
   private final StepUrgency urgency;
   private final List<TaskListener> taskListeners = new ArrayList<>();
+  private final LearnedRunTimes runTimes;
   private final Map<String, Long> failingSinceNs = new HashMap<>();
   private final CrashTolerance crashTolerance = new CrashTolerance();
   private final Map<String, byte[]> progressRecords = new HashMap<>();
@@ -156,10 +157,6 @@
             () -> sessions.values().stream().map(session -> session.allocation().descriptor()),
             metrics);
     this.taskListeners.add(customers);
-    this.urgency =
-        (submission, step) ->
-            Urgency.of(
-                submission, step, loop.nowMs(), RunTimes.DECLARED, customers.shareRank(submission));
     this.placer = new StepPlacer(sessions, approvals, customers, this::place);
     this.submissionReaders =
         KeyedStream.submissionPartitions().stream()
@@ -175,6 +172,11 @@
             epoch,
             metrics,
             () -> onSuperseded.accept("the ledger has a newer epoch"));
+    this.runTimes = new LearnedRunTimes(loop, ledger, metrics, settings.runTimes());
+    this.taskListeners.add(new RunObserver(loop, runTimes));
+    this.urgency =
+        (submission, step) ->
+            Urgency.of(submission, step, loop.nowMs(), runTimes, customers.shareRank(submission));
     this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
   }
@@ -219,6 +221,8 @@
           public void onRecord(StoredRecord stored) {
             if (LeaseBounds.isBound(stored.key())) {
               leaseBounds.restore(stored.key(), stored.value());
+            } else if (LearnedRunTimes.isRecord(stored.key())) {
+              runTimes.restore(stored.value());
             } else {
               progressRecords.put(stored.key(), stored.value());
             }
@@ -551,6 +555,9 @@
       metrics.runRestarted(TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - lostNs));
     }
     ScheduledJob job = jobs.get(placement.task().id().jobId());
+    if (job != null) {
+      taskListeners.forEach(listener -> listener.onRunStarted(job, placement));
+    }
     if (job != null && job.progress.state() == WorkloadState.QUEUED) {
       job.progress.markRunning();
       metrics.jobStarted(loop.nowMs() - job.progress.submission().acceptedAtMs());
@@ -583,6 +590,7 @@
   @Override
   public void onRunEnded(Placement placement, TerminationReason endKind, String checkpoint) {
     TaskProgress task = placement.task();
+    final ScheduledJob job = jobs.get(task.id().jobId());
     WorkerAllocation allocation = placement.allocation();
     metrics.runEnded(endKind);
     if (endKind == TerminationReason.DONE || endKind == TerminationReason.FAILED) {
@@ -599,9 +607,12 @@
         && placement.startedNs() != 0
         && !task.spec().gang()) {
       long tookMs = TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - placement.startedNs());
-      allocation.recordSuccess(tookMs, task.spec().estimatedMs());
+      long expectedMs =
+          job != null && RunObserver.hasKnownTime(placement)
+              ? runTimes.expectedRunMs(job.submission(), placement)
+              : 0;
+      allocation.recordSuccess(tookMs, expectedMs);
     }
-    ScheduledJob job = jobs.get(task.id().jobId());
     if (job != null && task.run() == placement.run()) {
       taskListeners.forEach(listener -> listener.onRunEnded(job, placement, endKind));
       endRun(job, placement, endKind, checkpoint);
@@ -661,10 +672,19 @@
       logger.atInfo().log(
           "task: %s run %d on %s lost: %s.",
           task.id(), placement.run(), placement.allocation().descriptor().id(), reason);
+      taskListeners.forEach(listener -> listener.onRunLost(job, placement, silentMs));
       endRun(job, placement, TerminationReason.LAPSED, "");
     }
   }
 
+  @Override
+  public OptionalLong remainingMs(Placement placement, long elapsedMs) {
+    ScheduledJob job = jobs.get(placement.task().id().jobId());
+    return job == null
+        ? OptionalLong.empty()
+        : runTimes.remainingMs(job.submission(), placement, elapsedMs);
+  }
+
   private void endRun(
       ScheduledJob job, Placement placement, TerminationReason endKind, String checkpoint) {
     WorkloadState before = job.progress.state();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.shard;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.WorkerAllocation;
@@ -10,8 +11,19 @@
  */
 final class Placement {
 
+  /** Predicts when runs end. */
+  @FunctionalInterface
+  interface RemainingTimes {
+
+    /** Returns the time within which a run will end, in milliseconds; empty if it is unknown. */
+    OptionalLong remainingMs(Placement placement, long elapsedMs);
+  }
+
   static final int FULL_SPEED_PERCENT = 100;
 
+  /** Usual time between two reports of a worker, while the ends in the first one are stored. */
+  private static final long USUAL_REPORT_GAP_MS = 100;
+
   /** A run that its worker has survived for this long is not suspected of crashing it. */
   static final long STARTUP_MS = 500;
 
@@ -21,6 +33,10 @@
   final TaskProgress task;
   final int run;
   final WorkerAllocation allocation;
+
+  /** Whether the run starts from a checkpoint of an earlier one. */
+  final boolean resumed;
+
   long acknowledgedNs = Long.MAX_VALUE;
   boolean acknowledged;
   boolean startSent;
@@ -37,6 +53,9 @@
   long unansweredSinceNs;
   long startedNs;
 
+  /** Whether the run may have ended well before its end was reported. */
+  boolean endNoticedLate;
+
   /** Whether an earlier coordinator sent the start request, so that its time is unknown. */
   boolean adopted;
 
@@ -50,6 +69,7 @@
     this.task = task;
     this.run = run;
     this.allocation = allocation;
+    this.resumed = !task.checkpoint().isEmpty();
   }
 
   TaskProgress task() {
@@ -73,13 +93,25 @@
     return stopping;
   }
 
-  /** Returns whether the run should end within some time, by the estimate of its job. */
-  boolean isExpectedToEndWithin(long ms, long nowNs) {
-    if (startedNs == 0 || task.spec().longRunning() || task.spec().estimatedMs() <= 0) {
+  /**
+   * Notes whether no report was requested for some time before the one that shows the end.
+   *
+   * @param requestedNs when the report with the end was requested
+   * @param previousNs when the report before was received
+   */
+  void recordEndReport(long requestedNs, long previousNs) {
+    long sinceNs = previousNs - startSentNs > 0 ? previousNs : startSentNs;
+    endNoticedLate = requestedNs - sinceNs > TimeUnit.MILLISECONDS.toNanos(USUAL_REPORT_GAP_MS);
+  }
+
+  /** Returns whether the run should end within some time. */
+  boolean isExpectedToEndWithin(long ms, long nowNs, RemainingTimes remainingTimes) {
+    if (startedNs == 0 || task.spec().longRunning()) {
       return false;
     }
     long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNs - startedNs);
-    return task.spec().estimatedMs() - elapsedMs <= ms;
+    OptionalLong remainingMs = remainingTimes.remainingMs(this, elapsedMs);
+    return remainingMs.isPresent() && remainingMs.getAsLong() <= ms;
   }
 
   /** Returns whether the start of the run was sent, and the worker may not have survived it yet. */
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
@@ -50,14 +50,14 @@
   @Test
   void stepWiderThanLimitRunsInWaves() {
     configure(customer("acme", 1, 5));
-    cell.awaitCoordinator();
+    String coordinator = cell.awaitCoordinator();
     cell.submit("h0", "acme", customer("acme", 1, 0), step(20, List.of(), false));
     long highest = 0;
     boolean hasMetrics = false;
     for (int i = 0; i < 1_200; i++) {
       cell.time.advance(5);
       highest = Math.max(highest, running("acme"));
-      hasMetrics |= cell.metrics.getGauges().containsKey("customers.acme.limit-held-steps");
+      hasMetrics |= cell.registry(coordinator).getGauges().containsKey("customers.acme.limit-held-steps");
     }
 
     assertThat(highest).isEqualTo(5);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -30,10 +30,12 @@
   private static final class Host {
     private final VirtualTime.HostEventLoop loop;
     private final Shard shard;
+    private final MetricRegistry registry;
 
-    Host(VirtualTime.HostEventLoop loop, Shard shard) {
+    Host(VirtualTime.HostEventLoop loop, Shard shard, MetricRegistry registry) {
       this.loop = loop;
       this.shard = shard;
+      this.registry = registry;
     }
   }
 
@@ -46,9 +48,6 @@
   /** Customers of the configuration that all hosts have; null before the first configuration. */
   @Nullable CustomerDirectory customers = CustomerDirectory.EMPTY;
 
-  /** Metrics of all hosts together. */
-  final MetricRegistry metrics = new MetricRegistry();
-
   SimulatedCell(long seed, int hostCount, int workerCount) {
     time = new VirtualTime(seed);
     store = new FakeStore(time);
@@ -72,6 +71,7 @@
     ShardSettings settings =
         new ShardSettings(
             name, "d", name, 6_000, FakeWorkers.HEARTBEAT_MS, FakeWorkers.DRAIN_MS, processors);
+    MetricRegistry registry = new MetricRegistry();
     ApprovalPort advice = (step, ids, withinMs) -> new CompletableFuture<>();
     Shard shard =
         new Shard(
@@ -82,9 +82,9 @@
             FakeWorkers::decode,
             (address, request, timeoutMs) -> call(address, request, timeoutMs),
             loop,
-            new ShardMetrics(metrics),
+            new ShardMetrics(registry),
             () -> customers);
-    hosts.put(name, new Host(loop, shard));
+    hosts.put(name, new Host(loop, shard, registry));
     shard.start();
   }
 
@@ -140,6 +140,11 @@
     return host(name).loop.isDead();
   }
 
+  /** Returns the metrics of a host. */
+  MetricRegistry registry(String name) {
+    return host(name).registry;
+  }
+
   Shard shard(String name) {
     return host(name).shard;
   }
