--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
@@ -57,7 +57,8 @@
     for (int i = 0; i < 1_200; i++) {
       cell.time.advance(5);
       highest = Math.max(highest, running("acme"));
-      hasMetrics |= cell.registry(coordinator).getGauges().containsKey("customers.acme.limit-held-steps");
+      hasMetrics |=
+          cell.registry(coordinator).getGauges().containsKey("customers.acme.limit-held-steps");
     }
 
     assertThat(highest).isEqualTo(5);
