--- a/domain/src/main/java/org/hickorymoor/domain/runtime/DecayedMean.java
+++ b/domain/src/main/java/org/hickorymoor/domain/runtime/DecayedMean.java
@@ -26,7 +26,7 @@
     return new DecayedMean(total, mean + (sample - mean) * sampleWeight / total);
   }
 
-  /** Returns the mean, drawn to another value that weighs as much as some samples. */
+  /** Returns the mean, shrunk towards another value that weighs as much as some samples. */
   double shrunkTo(double value, double samples) {
     return (weight * mean + samples * value) / (weight + samples);
   }
--- a/domain/src/main/java/org/hickorymoor/domain/runtime/LocationEffects.java
+++ b/domain/src/main/java/org/hickorymoor/domain/runtime/LocationEffects.java
@@ -10,7 +10,7 @@
 
   private static final int MAX_KINDS = 32;
 
-  /** Weight, in samples, with which a factor is drawn to 1: kinds rarely differ by much. */
+  /** Weight, in samples, with which a factor is shrunk towards 1: kinds rarely differ by much. */
   private static final double PRIOR_WEIGHT = 20;
 
   private final LruMap<String, DecayedMean> kinds = new LruMap<>(MAX_KINDS);
--- a/domain/src/main/java/org/hickorymoor/domain/runtime/LogMoments.java
+++ b/domain/src/main/java/org/hickorymoor/domain/runtime/LogMoments.java
@@ -28,7 +28,7 @@
   /** Variance of the slopes of levels around that of the next more general one. */
   private static final double SLOPE_VARIANCE = 0.25;
 
-  /** A level is never drawn to the more general one by more than so many samples. */
+  /** A level shrinks towards the more general one by at most the weight of 20 samples. */
   private static final double MIN_BETWEEN_SHARE = 0.05;
 
   /** Run times vary by 1 % at least; keeps distributions from degenerating. */
@@ -62,7 +62,7 @@
   }
 
   /**
-   * Returns the fit of this level, drawn to that of the next more general level.
+   * Returns the fit of this level, shrunk towards that of the next more general level.
    *
    * <p>How strongly depends on how much smaller the variance within this level is than that of the
    * general one: where levels don't differ, their samples are worth pooling.
@@ -76,8 +76,9 @@
     double ridge = within / SLOPE_VARIANCE;
     double slope = (sumXy + ridge * general.slope()) / (sumXx + ridge);
     double between = Math.max(general.variance() - within, MIN_BETWEEN_SHARE * general.variance());
-    double pull = within / between;
-    double value = (weight * meanY + pull * general.predict(meanX)) / (weight + pull);
+    double priorSamples = within / between;
+    double value =
+        (weight * meanY + priorSamples * general.predict(meanX)) / (weight + priorSamples);
     double residual = sumYy - 2 * slope * sumXy + slope * slope * sumXx;
     return new LogFit(meanX, value, slope, variance(residual, general));
   }
