--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -905,22 +905,25 @@
     task.place(worker, run);
     notifyPlaced(job, task);
     Placement placement = session.add(task);
-    String ticket = approvals.ticket(task.id().stepName(), worker);
     markDirty(job);
-    ledger.runAfterStored(() -> sendStart(job, session, placement, ticket));
+    ledger.runAfterStored(() -> sendStart(job, session, placement));
   }
 
-  private void sendStart(
-      ScheduledJob job, WorkerSession session, Placement placement, @Nullable String ticket) {
+  private void sendStart(ScheduledJob job, WorkerSession session, Placement placement) {
     if (!session.hasReservation(placement)) {
       return;
     }
     if (!job.accepted && !closed) {
-      job.deferredStarts.add(() -> sendStart(job, session, placement, ticket));
+      job.deferredStarts.add(() -> sendStart(job, session, placement));
       return;
     }
-    // The worker's capacity may have shrunk while the placement was being stored.
+    String ticket =
+        approvals.ticket(placement.task().id().stepName(), session.allocation().descriptor().id());
+    boolean isApproved = job.submission().policy().approval() == null || ticket != null;
+    // While the placement was being stored, the approval may have expired, and the worker's
+    // capacity may have shrunk.
     if (closed
+        || !isApproved
         || placement.isStopping()
         || job.progress.state().isFinal()
         || session.allocation().isOverCommitted()) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -240,6 +240,10 @@
         return reply(TaskWorkerPort.Outcome.LATE);
       }
       lease(until);
+      if (!acceptsTicket.test(request)) {
+        rejectedTickets++;
+        return reply(TaskWorkerPort.Outcome.BAD_TICKET);
+      }
       Run sameTaskRun = running.get(request.task());
       if (sameTaskRun != null && sameTaskRun.number == request.run()) {
         return reply(TaskWorkerPort.Outcome.ACCEPTED);
@@ -330,6 +334,11 @@
   private long restartDelayMs = 3_300;
   private boolean hangsBeforeCrash;
   private Predicate<String> endsBeforeStartOf = task -> false;
+
+  /** Decides whether a worker accepts the ticket of a start request. */
+  Predicate<TaskWorkerPort.StartRequest> acceptsTicket = request -> true;
+
+  private int rejectedTickets;
   private boolean renamesRestarted;
   private boolean cutsOffUnanswered;
   private int starts;
@@ -455,6 +464,11 @@
     return workersByRunningTask.get(task);
   }
 
+  /** Returns the number of start requests rejected for their ticket. */
+  int rejectedTickets() {
+    return rejectedTickets;
+  }
+
   int starts() {
     return starts;
   }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SimulatedCell.java
@@ -48,6 +48,9 @@
   /** Customers of the configuration that all hosts have; null before the first configuration. */
   @Nullable CustomerDirectory customers = CustomerDirectory.EMPTY;
 
+  /** Decides which workers may run a step; never answers by default. */
+  ApprovalPort approvals = (step, ids, withinMs) -> new CompletableFuture<>();
+
   SimulatedCell(long seed, int hostCount, int workerCount) {
     time = new VirtualTime(seed);
     store = new FakeStore(time);
@@ -72,7 +75,7 @@
         new ShardSettings(
             name, "d", name, 6_000, FakeWorkers.HEARTBEAT_MS, FakeWorkers.DRAIN_MS, processors);
     MetricRegistry registry = new MetricRegistry();
-    ApprovalPort advice = (step, ids, withinMs) -> new CompletableFuture<>();
+    ApprovalPort advice = (step, ids, withinMs) -> approvals.requestApprovals(step, ids, withinMs);
     Shard shard =
         new Shard(
             settings,
