--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
@@ -1,5 +1,6 @@
 package org.hickorymoor.daemon.peer;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import org.hickorymoor.daemon.port.ApprovalPort;
 import org.hickorymoor.domain.job.JobAnswer;
@@ -130,4 +131,15 @@
       approvals = List.copyOf(approvals);
     }
   }
+
+  /**
+   * Reply to {@link PeerRequest.GetCellConfig}.
+   *
+   * @param offset offset of the newest record that the peer knows; -1 for none
+   * @param confirmedAgeMs time since the store last confirmed to the peer that there is no newer
+   *     record; -1 for never
+   * @param record the record of the peer's configuration; empty if the peer has none newer
+   */
+  record CellConfigReply(long offset, long confirmedAgeMs, ByteBuffer record)
+      implements PeerReply {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -172,4 +172,13 @@
       workerIds = List.copyOf(workerIds);
     }
   }
+
+  /**
+   * Asks for the configuration of the cell if the peer has a newer one; the reply is {@link
+   * PeerReply.CellConfigReply}. A peer whose own is older asks the sender for it.
+   *
+   * @param knownOffset offset of the newest record that the sender knows; -1 for none
+   * @param senderAddress ip:port at which the sender handles requests
+   */
+  record GetCellConfig(long knownOffset, String senderAddress) implements PeerRequest {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -23,6 +23,7 @@
   GET_WORKLOAD("get-workload", PeerRequest.GetWorkload.class),
   GET_QUEUE_DEPTH("get-queue-depth", PeerRequest.GetQueueDepth.class),
   ASK_APPROVAL("ask-approval", PeerRequest.AskApproval.class),
+  GET_CELL_CONFIG("get-cell-config", PeerRequest.GetCellConfig.class),
 
   /** Hello, heartbeat and go-away frames. */
   UPKEEP("upkeep", null),
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/ReplyCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ReplyCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.hickorymoor.daemon.peer.PeerReply.ApprovalReply;
+import org.hickorymoor.daemon.peer.PeerReply.CellConfigReply;
 import org.hickorymoor.daemon.peer.PeerReply.ConfigReply;
 import org.hickorymoor.daemon.peer.PeerReply.Done;
 import org.hickorymoor.daemon.peer.PeerReply.ExplainReply;
@@ -82,7 +83,15 @@
               ApprovalReply.class,
               (out, reply) ->
                   FieldCodec.writeList(out, reply.approvals(), ReplyCodec::writeApproval),
-              in -> new ApprovalReply(FieldCodec.readList(in, ReplyCodec::readApproval)));
+              in -> new ApprovalReply(FieldCodec.readList(in, ReplyCodec::readApproval)))
+          .add(
+              24,
+              3,
+              CellConfigReply.class,
+              ReplyCodec::writeCellConfig,
+              in ->
+                  new CellConfigReply(
+                      in.unpackLong(), in.unpackLong(), RequestCodec.readBytes(in)));
 
   private ReplyCodec() {}
 
@@ -95,6 +104,12 @@
     return new ConfigReply(in.unpackLong(), FieldCodec.readList(in, FieldCodec::readRecord));
   }
 
+  private static void writeCellConfig(MessagePacker out, CellConfigReply reply) throws IOException {
+    out.packLong(reply.offset());
+    out.packLong(reply.confirmedAgeMs());
+    RequestCodec.writeBytes(out, reply.record());
+  }
+
   private static void writeIntents(MessagePacker out, IntentsReply reply) throws IOException {
     out.packBoolean(reply.complete());
     FieldCodec.writeStringList(out, reply.entries());
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -9,6 +9,7 @@
 import org.hickorymoor.daemon.peer.PeerRequest.ExplainJob;
 import org.hickorymoor.daemon.peer.PeerRequest.FetchConfig;
 import org.hickorymoor.daemon.peer.PeerRequest.FetchIntents;
+import org.hickorymoor.daemon.peer.PeerRequest.GetCellConfig;
 import org.hickorymoor.daemon.peer.PeerRequest.GetJob;
 import org.hickorymoor.daemon.peer.PeerRequest.GetQueueDepth;
 import org.hickorymoor.daemon.peer.PeerRequest.GetWorkload;
@@ -79,7 +80,13 @@
               2,
               RequestTakeover.class,
               RequestCodec::writeTakeover,
-              in -> new RequestTakeover(in.unpackLong(), in.unpackLong()));
+              in -> new RequestTakeover(in.unpackLong(), in.unpackLong()))
+          .add(
+              24,
+              2,
+              GetCellConfig.class,
+              RequestCodec::writeGetCellConfig,
+              in -> new GetCellConfig(in.unpackLong(), in.unpackString()));
 
   private RequestCodec() {}
 
@@ -109,13 +116,18 @@
     return new AnnounceSubmission(in.unpackString(), readBytes(in), in.unpackBoolean());
   }
 
-  private static void writeBytes(MessagePacker out, ByteBuffer bytes) throws IOException {
+  private static void writeGetCellConfig(MessagePacker out, GetCellConfig get) throws IOException {
+    out.packLong(get.knownOffset());
+    out.packString(get.senderAddress());
+  }
+
+  static void writeBytes(MessagePacker out, ByteBuffer bytes) throws IOException {
     byte[] value = ByteBuffers.copyRemaining(bytes);
     out.packBinaryHeader(value.length);
     out.writePayload(value);
   }
 
-  private static ByteBuffer readBytes(MessageUnpacker in) throws IOException {
+  static ByteBuffer readBytes(MessageUnpacker in) throws IOException {
     return ByteBuffer.wrap(in.readPayload(in.unpackBinaryHeader()));
   }
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -233,6 +233,11 @@
             (stored, failure) -> metrics.submissionStored(stored, loop.nowNs() - beganNs));
   }
 
+  /** Returns the peer addresses of all hosts of the cell, including this one. Thread-safe. */
+  public List<String> hostAddresses() {
+    return hosts.addresses();
+  }
+
   /** Returns the addresses of up to this many other hosts, picked at random. */
   private List<String> randomPeers(int count) {
     List<String> others =
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SingleThreadEventLoop.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SingleThreadEventLoop.java
@@ -14,12 +14,22 @@
   private static final long STOP_WAIT_MS = 1_000;
 
   private final Random random = new Random();
-  private final ScheduledThreadPoolExecutor executor =
-      new ScheduledThreadPoolExecutor(
-          1, new ThreadFactoryBuilder().setNameFormat("shard").setDaemon(true).build());
+  private final ScheduledThreadPoolExecutor executor;
 
-  /** Creates a loop; its thread starts with the first task. */
+  /** Creates the loop of a shard; its thread starts with the first task. */
   public SingleThreadEventLoop() {
+    this("shard");
+  }
+
+  /**
+   * Creates a loop; its thread starts with the first task.
+   *
+   * @param threadName name of the thread
+   */
+  public SingleThreadEventLoop(String threadName) {
+    executor =
+        new ScheduledThreadPoolExecutor(
+            1, new ThreadFactoryBuilder().setNameFormat(threadName).setDaemon(true).build());
     executor.setRemoveOnCancelPolicy(true);
     executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
   }
--- a/domain/src/main/java/org/hickorymoor/domain/customer/package-info.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/package-info.java
@@ -1,4 +1,4 @@
-/** Ownership leases on workers, and authority over a failure domain. */
+/** Customers: their API keys, shares and limits; no I/O, no clock. */
 @NullMarked
 package org.hickorymoor.domain.customer;
 
