--- a/domain/src/main/java/org/hickorymoor/domain/customer/ApiKeyIndex.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/ApiKeyIndex.java
@@ -14,7 +14,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Finds the customer of an API key. Keeps SHA-256 digests only, so that a heap dump shows no key.
+ * Finds the customer of an API key. Keeps SHA-256 digests only.
  *
  * <pre>{@code
  * ApiKeyIndex.Builder builder = ApiKeyIndex.builder();
