--- a/domain/src/main/java/org/hickorymoor/domain/customer/package-info.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/package-info.java
@@ -1,4 +1,7 @@
-/** Customers: their policies, the resources that they use, their limits and shares. */
+/**
+ * Customers: their API keys and policies, the resources that they use, their limits and shares; no
+ * I/O, no clock.
+ */
 @NullMarked
 package org.hickorymoor.domain.customer;
 
