Add peer messages for admission control

The coordinator must be able to say that a customer is under pressure and to refuse a job before a host stores it.

An announcement is still answered Done unless the customer is under pressure, so hosts of the previous version see no unknown reply without customers.

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
@@ -130,4 +130,22 @@
       approvals = List.copyOf(approvals);
     }
   }
+
+  /**
+   * Reply to {@link PeerRequest.AnnounceSubmission} if the coordinator must be asked about further
+   * jobs of the customer. Otherwise the reply is {@link Done}, as from hosts of versions without
+   * admission control.
+   *
+   * @param underPressure whether the customer is under pressure
+   */
+  record AnnouncementReply(boolean underPressure) implements PeerReply {}
+
+  /**
+   * Reply to {@link PeerRequest.AdmitSubmission}.
+   *
+   * @param admitted whether the job is to be accepted
+   * @param retryAfterMs time after which a refused job can be submitted again; 0 if it is admitted
+   * @param reason why the job is refused; empty if it is admitted
+   */
+  record AdmissionReply(boolean admitted, long retryAfterMs, String reason) implements PeerReply {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -126,7 +126,8 @@
 
   /**
    * Announces a job to the coordinator while it is being written to the store, so that it can be
-   * placed in the meantime; the reply is {@link PeerReply.Done}.
+   * placed in the meantime; the reply is {@link PeerReply.AnnouncementReply} if the job's customer
+   * is under pressure, else {@link PeerReply.Done}.
    *
    * @param key key of the job's record
    * @param value content of the record
@@ -172,4 +173,33 @@
       workerIds = List.copyOf(workerIds);
     }
   }
+
+  /**
+   * Asks the coordinator whether to accept a job of a customer that is under pressure; the reply is
+   * {@link PeerReply.AdmissionReply}.
+   *
+   * <p>Service, priority and usefulness come from the sender, since the coordinator knows only the
+   * queues of open jobs, whose configuration may have changed meanwhile.
+   *
+   * @param jobId id of the job
+   * @param customer name of the customer
+   * @param queue name of the job's queue
+   * @param service name of the worker pool that would run the job
+   * @param priority priority of the queue; 0 is the highest
+   * @param coreMs processor time that the job needs, in core-milliseconds
+   * @param criticalPathMs length of the job's critical path
+   * @param usefulWithinMs time from now within which the job must complete to be useful
+   * @param bytes size of the submission
+   */
+  record AdmitSubmission(
+      String jobId,
+      String customer,
+      String queue,
+      String service,
+      int priority,
+      long coreMs,
+      long criticalPathMs,
+      long usefulWithinMs,
+      int bytes)
+      implements PeerRequest {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -23,6 +23,7 @@
   GET_WORKLOAD("get-workload", PeerRequest.GetWorkload.class),
   GET_QUEUE_DEPTH("get-queue-depth", PeerRequest.GetQueueDepth.class),
   ASK_APPROVAL("ask-approval", PeerRequest.AskApproval.class),
+  ADMIT_SUBMISSION("admit-submission", PeerRequest.AdmitSubmission.class),
 
   /** Hello, heartbeat and go-away frames. */
   UPKEEP("upkeep", null),
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/ReplyCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ReplyCodec.java
@@ -1,6 +1,8 @@
 package org.hickorymoor.daemon.peer;
 
 import java.io.IOException;
+import org.hickorymoor.daemon.peer.PeerReply.AdmissionReply;
+import org.hickorymoor.daemon.peer.PeerReply.AnnouncementReply;
 import org.hickorymoor.daemon.peer.PeerReply.ApprovalReply;
 import org.hickorymoor.daemon.peer.PeerReply.ConfigReply;
 import org.hickorymoor.daemon.peer.PeerReply.Done;
@@ -82,7 +84,14 @@
               ApprovalReply.class,
               (out, reply) ->
                   FieldCodec.writeList(out, reply.approvals(), ReplyCodec::writeApproval),
-              in -> new ApprovalReply(FieldCodec.readList(in, ReplyCodec::readApproval)));
+              in -> new ApprovalReply(FieldCodec.readList(in, ReplyCodec::readApproval)))
+          .add(
+              15,
+              1,
+              AnnouncementReply.class,
+              (out, reply) -> out.packBoolean(reply.underPressure()),
+              in -> new AnnouncementReply(in.unpackBoolean()))
+          .add(16, 3, AdmissionReply.class, ReplyCodec::writeAdmission, ReplyCodec::readAdmission);
 
   private ReplyCodec() {}
 
@@ -123,6 +132,16 @@
     return new WorkloadReply(name == null ? null : WorkloadState.valueOf(name));
   }
 
+  private static void writeAdmission(MessagePacker out, AdmissionReply reply) throws IOException {
+    out.packBoolean(reply.admitted());
+    out.packLong(reply.retryAfterMs());
+    out.packString(reply.reason());
+  }
+
+  private static AdmissionReply readAdmission(MessageUnpacker in) throws IOException {
+    return new AdmissionReply(in.unpackBoolean(), in.unpackLong(), in.unpackString());
+  }
+
   private static void writeApproval(MessagePacker out, Approval approval) throws IOException {
     out.packArrayHeader(APPROVAL_FIELDS);
     out.packString(approval.workerId());
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.hickorymoor.daemon.peer.PeerRequest.AdmitSubmission;
 import org.hickorymoor.daemon.peer.PeerRequest.AnnounceSubmission;
 import org.hickorymoor.daemon.peer.PeerRequest.AskApproval;
 import org.hickorymoor.daemon.peer.PeerRequest.CancelJob;
@@ -79,7 +80,8 @@
               2,
               RequestTakeover.class,
               RequestCodec::writeTakeover,
-              in -> new RequestTakeover(in.unpackLong(), in.unpackLong()));
+              in -> new RequestTakeover(in.unpackLong(), in.unpackLong()))
+          .add(19, 9, AdmitSubmission.class, RequestCodec::writeAdmit, RequestCodec::readAdmit);
 
   private RequestCodec() {}
 
@@ -109,6 +111,31 @@
     return new AnnounceSubmission(in.unpackString(), readBytes(in), in.unpackBoolean());
   }
 
+  private static void writeAdmit(MessagePacker out, AdmitSubmission admit) throws IOException {
+    out.packString(admit.jobId());
+    out.packString(admit.customer());
+    out.packString(admit.queue());
+    out.packString(admit.service());
+    out.packInt(admit.priority());
+    out.packLong(admit.coreMs());
+    out.packLong(admit.criticalPathMs());
+    out.packLong(admit.usefulWithinMs());
+    out.packInt(admit.bytes());
+  }
+
+  private static AdmitSubmission readAdmit(MessageUnpacker in) throws IOException {
+    return new AdmitSubmission(
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackInt(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackInt());
+  }
+
   private static void writeBytes(MessagePacker out, ByteBuffer bytes) throws IOException {
     byte[] value = ByteBuffers.copyRemaining(bytes);
     out.packBinaryHeader(value.length);
