--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -101,6 +101,11 @@
     return descriptor.memoryMb() - usedMemoryMb;
   }
 
+  /** Returns the number of unreserved accelerators. */
+  public int freeAccelerators() {
+    return descriptor.accelerators() - usedAccelerators;
+  }
+
   /** Returns whether more is reserved than the worker holds, since its capacity has shrunk. */
   public boolean isOverCommitted() {
     return freeCpuMillis() < 0
