--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -12,12 +12,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
 import org.hickorymoor.daemon.port.KeyedLogPort.StoredRecord;
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.TaskWorkerPort;
 import org.hickorymoor.daemon.port.TaskWorkerPort.Outcome;
+import org.hickorymoor.domain.customer.CustomerDirectory;
 import org.hickorymoor.domain.workload.CrashEvidence;
 import org.hickorymoor.domain.workload.CrashTolerance;
 import org.hickorymoor.domain.workload.JobProgress;
@@ -116,6 +118,8 @@
   /** Workers that are not listed, whose runs are kept until their leases must have ended. */
   private final Set<String> unlistedWorkers = new HashSet<>();
 
+  private final AdmissionBacklog backlog = new AdmissionBacklog(RunTimes.DECLARED);
+  private final AdmissionControl admission;
   private boolean ready;
   private boolean closed;
   private boolean placementScheduled;
@@ -165,6 +169,10 @@
             () -> onSuperseded.accept("the ledger has a newer epoch"));
     this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
+    this.admission =
+        new AdmissionControl(
+            loop, backlog, new AdmissionCell(), () -> CustomerDirectory.EMPTY, submission -> 0);
+    taskListeners.add(backlog);
   }
 
   /** Fences earlier coordinators and loads progress, submissions and workers. */
@@ -238,6 +246,7 @@
     progressRecords.keySet().removeAll(jobs.keySet());
     progressRecords.keySet().removeAll(endedJobs.keySet());
     ready = true;
+    admission.start();
     logger.atInfo().log(
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
         TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs),
@@ -297,6 +306,7 @@
   void onAnnounced(String key, byte[] value, boolean isStored) {
     String jobId = SubmissionKeys.submittedJob(key);
     if (ready && !closed && jobId != null) {
+      admission.onAnnounced(jobId);
       onSubmission(jobId, new StoredRecord(NO_OFFSET, key, value), isStored);
     }
   }
@@ -341,12 +351,16 @@
     }
     ScheduledJob job = new ScheduledJob(progress, isAccepted);
     jobs.put(jobId, job);
+    if (!progress.state().isFinal()) {
+      backlog.add(progress, stored.value().length, loop.nowMs());
+    }
     progress.placedTasks().forEach(task -> notifyPlaced(job, task));
     adoptPlacements(job, sessions.keySet());
     if (!isAccepted) {
       loop.schedule(ANNOUNCED_JOB_TTL_MS, () -> dropUnlessAccepted(job));
     }
     progress.startDueOccurrences(loop.nowMs());
+    backlog.addOccurrences(progress);
     if (ready) {
       logger.atInfo().log(
           "job: %s added, queue %s, %d steps, offset %d.",
@@ -373,6 +387,7 @@
       notifyReleased(job, task);
     }
     jobs.remove(job.id());
+    backlog.remove(job.id());
     pendingJobs.remove(job);
     approvals.removeJob(job.id());
     ledger.markDirty(job.id(), () -> Entry.tombstone(job.id()).value());
@@ -702,6 +717,9 @@
   private void onProgressChanged(ScheduledJob job) {
     markDirty(job);
     WorkloadState state = job.progress.state();
+    if (state.isFinal()) {
+      backlog.remove(job.id());
+    }
     boolean expired = state.isFinal() && job.progress.placedTasks().isEmpty();
     if (state != job.storedState || expired) {
       ledger.runAfterStored(() -> onProgressStored(job, state));
@@ -773,6 +791,39 @@
     return queued;
   }
 
+  /** Returns the control that decides which jobs are accepted while this host coordinates. */
+  AdmissionControl admission() {
+    return admission;
+  }
+
+  /** Shows the admission control the state of this scheduler. */
+  private final class AdmissionCell implements AdmissionControl.Cell {
+
+    @Override
+    public Stream<WorkerAllocation> schedulableWorkers() {
+      return sessions.values().stream()
+          .filter(WorkerSession::isSchedulable)
+          .map(WorkerSession::allocation);
+    }
+
+    @Override
+    public boolean isKnown(String jobId) {
+      return jobs.containsKey(jobId)
+          || endedJobs.containsKey(jobId)
+          || cancelledJobs.contains(jobId);
+    }
+
+    @Override
+    public boolean hasFreshSubmissions() {
+      return JobScheduler.this.hasFreshSubmissions();
+    }
+
+    @Override
+    public long submissionsAgeMs() {
+      return submissionReaders.stream().mapToLong(SubmissionReader::readAgeMs).max().orElse(0);
+    }
+  }
+
   // Placement
 
   private void tick() {
@@ -784,6 +835,7 @@
     for (ScheduledJob job : jobs.values()) {
       if (job.progress.submission().spec().repetitions() > 0) {
         job.progress.startDueOccurrences(nowMs);
+        backlog.addOccurrences(job.progress);
         pendingJobs.add(job);
       }
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -83,6 +83,7 @@
   private final CoordinatorElection election;
   private final RecentJobIds recentJobs = new RecentJobIds(RECENT_JOB_LIMIT);
   private final EventLoopLagMonitor lagMonitor;
+  private final AdmissionGate admissionGate;
   private @Nullable JobScheduler scheduler;
   private long takeoverRequestedNs;
   private volatile boolean elected;
@@ -122,6 +123,7 @@
     this.hosts = new HostRegistry(loop, log, settings);
     this.submissions = new SubmissionWriter(loop, log, this::submissionPartition);
     this.election = new CoordinatorElection(loop, log, settings, new ElectionListener());
+    this.admissionGate = new AdmissionGate(loop, this::askCoordinator, metrics);
     this.lagMonitor =
         new EventLoopLagMonitor(
             loop, () -> election.pauseCandidacy("the event loop of this host runs late"));
@@ -162,6 +164,42 @@
     loop.stop();
   }
 
+  /**
+   * Asks whether a job of a customer under pressure is accepted; to be called before {@link
+   * #submit}.
+   *
+   * @param submission the job
+   * @param withinMs how long the caller waits
+   * @return whether the job is accepted; never fails
+   */
+  public CompletableFuture<Admission> admit(Submission submission, long withinMs) {
+    return admissionGate.admit(submission, withinMs);
+  }
+
+  /** Asks the coordinator once, which may be this host. */
+  private CompletableFuture<PeerReply> askCoordinator(PeerRequest request, long timeoutMs) {
+    CompletableFuture<PeerReply> result = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          CoordinatorRecord coordinator = election.current();
+          if (coordinator == null || election.isSelf()) {
+            result.complete(answerLocally(request));
+          } else {
+            var unused =
+                callCoordinator(coordinator, request, timeoutMs)
+                    .whenComplete(
+                        (reply, failure) -> {
+                          if (failure == null) {
+                            result.complete(reply);
+                          } else {
+                            result.completeExceptionally(failure);
+                          }
+                        });
+          }
+        });
+    return result;
+  }
+
   /**
    * Stores a job.
    *
@@ -172,13 +210,13 @@
   public CompletableFuture<StoreResult> submit(Submission submission, long withinMs) {
     String key = SubmissionKeys.submitted(submission.jobId());
     byte[] value = WorkloadCodec.encode(submission);
-    announce(key, value, false);
+    announce(submission, key, value, false);
     return store(key, value, withinMs)
         .thenApply(
             stored -> {
               if (stored == StoreResult.YES) {
                 recentJobs.add(submission.jobId());
-                announce(key, value, true);
+                announce(submission, key, value, true);
               }
               return stored;
             });
@@ -188,23 +226,38 @@
    * Announces a job to the coordinator, which can place it while it is being stored. Best effort:
    * nothing depends on the arrival of the announcement.
    */
-  private void announce(String key, byte[] value, boolean stored) {
+  private void announce(Submission submission, String key, byte[] value, boolean stored) {
     loop.execute(
         () -> {
           CoordinatorRecord coordinator = election.current();
-          JobScheduler activeScheduler = scheduler;
-          if (activeScheduler != null) {
-            activeScheduler.onAnnounced(key, value, stored);
+          if (scheduler != null) {
+            admissionGate.onAnnouncementReply(
+                submission.customer(), onAnnounced(key, value, stored));
           } else if (coordinator != null && !election.isSelf()) {
             var unused =
                 callCoordinator(
-                    coordinator,
-                    new PeerRequest.AnnounceSubmission(key, ByteBuffer.wrap(value), stored),
-                    QUERY_TIMEOUT_MS);
+                        coordinator,
+                        new PeerRequest.AnnounceSubmission(key, ByteBuffer.wrap(value), stored),
+                        QUERY_TIMEOUT_MS)
+                    .thenAccept(
+                        reply -> admissionGate.onAnnouncementReply(submission.customer(), reply));
           }
         });
   }
 
+  /** Handles the announcement of a job; called on the event loop thread. */
+  private PeerReply onAnnounced(String key, byte[] value, boolean stored) {
+    JobScheduler activeScheduler = scheduler;
+    if (activeScheduler == null) {
+      return new PeerReply.Done();
+    }
+    activeScheduler.onAnnounced(key, value, stored);
+    String jobId = SubmissionKeys.submittedJob(key);
+    return jobId != null && activeScheduler.admission().isUnderPressure(jobId)
+        ? new PeerReply.AnnouncementReply(true)
+        : new PeerReply.Done();
+  }
+
   /**
    * Stores the cancellation of a job.
    *
@@ -362,6 +415,9 @@
     if (activeScheduler == null || !activeScheduler.isReady()) {
       return notCoordinator();
     }
+    if (request instanceof PeerRequest.AdmitSubmission admit) {
+      return activeScheduler.admission().decide(admit);
+    }
     if (request instanceof PeerRequest.GetQueueDepth depth) {
       return new PeerReply.QueueDepthReply(activeScheduler.queuedJobs(depth.queue()));
     }
@@ -372,7 +428,8 @@
           : new PeerReply.WorkloadReply(state);
     }
     return new PeerReply.Refused(
-        PeerErrorType.BAD_REQUEST, "expected a query for a job or a queue, got " + request);
+        PeerErrorType.BAD_REQUEST,
+        "expected a query for a job, a queue or an admission, got " + request);
   }
 
   private PeerReply notCoordinator() {
@@ -401,13 +458,9 @@
     }
     if (request instanceof PeerRequest.AnnounceSubmission announced) {
       byte[] value = ByteBuffers.copyRemaining(announced.value());
-      loop.execute(
-          () -> {
-            if (scheduler != null) {
-              scheduler.onAnnounced(announced.key(), value, announced.stored());
-            }
-          });
-      return completedFuture(new PeerReply.Done());
+      CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+      loop.execute(() -> reply.complete(onAnnounced(announced.key(), value, announced.stored())));
+      return reply;
     }
     if (request instanceof PeerRequest.RequestTakeover takeover) {
       loop.execute(
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ShardMetrics.java
@@ -116,4 +116,19 @@
     registry.counter(answered ? "advice.answered" : "advice.unanswered").inc();
     adviceMs.update(TimeUnit.NANOSECONDS.toMillis(tookNs));
   }
+
+  /** Counts a job about which this host asked the coordinator before storing it. */
+  void admissionAsked() {
+    registry.counter("admission.asked").inc();
+  }
+
+  /** Counts a job that this host has refused because its customer is under pressure. */
+  void admissionRefused() {
+    registry.counter("admission.refused").inc();
+  }
+
+  /** Counts a job that this host accepted because the coordinator has not answered. */
+  void admissionUnanswered() {
+    registry.counter("admission.unanswered").inc();
+  }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
@@ -27,7 +27,7 @@
   }
 
   /** Share of a worker's processor capacity that is reserved for the most urgent priority, 0. */
-  private static final double URGENT_HEADROOM_SHARE = 0.06;
+  static final double URGENT_HEADROOM_SHARE = 0.06;
 
   private final Map<String, WorkerSession> sessions;
   private final ApprovalCache approvals;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionReader.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionReader.java
@@ -80,6 +80,11 @@
     return loop.nowNs() - lastReadNs < MAX_STALENESS_MS * NS_PER_MS;
   }
 
+  /** Returns the time since the last answered read. */
+  long readAgeMs() {
+    return (loop.nowNs() - lastReadNs) / NS_PER_MS;
+  }
+
   private void load(Runnable onLoaded) {
     LatestRecordReader.read(
         loop,
