--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -24,6 +24,7 @@
   GET_QUEUE_DEPTH("get-queue-depth", PeerRequest.GetQueueDepth.class),
   ASK_APPROVAL("ask-approval", PeerRequest.AskApproval.class),
   GET_CELL_CONFIG("get-cell-config", PeerRequest.GetCellConfig.class),
+  ADMIT_SUBMISSION("admit-submission", PeerRequest.AdmitSubmission.class),
 
   /** Hello, heartbeat and go-away frames. */
   UPKEEP("upkeep", null),
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
@@ -160,6 +160,25 @@
     return rank;
   }
 
+  /**
+   * Returns the rank that a job would have if it were accepted now. Counts nothing, so that jobs
+   * which are refused leave no trace.
+   */
+  int rankIfAccepted(Submission submission) {
+    CustomerPolicy stored = submission.customer();
+    if (stored == null) {
+      return WITHIN_SHARE;
+    }
+    CustomerPolicy policy = policies.of(stored);
+    SubmissionRate rate = rates.get(stored.name());
+    if (rate != null && !rate.hasToken(policy.weight(), loop.nowMs())) {
+      return BEYOND_RATE;
+    }
+    return shares.isAboveShare(policy, submission.policy().service(), passBeganNs)
+        ? ABOVE_SHARE
+        : WITHIN_SHARE;
+  }
+
   @Override
   public int permittedStarts(Submission submission, StepSpec step, int wanted) {
     CustomerPolicy stored = submission.customer();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
 import org.hickorymoor.daemon.port.KeyedLogPort.StoredRecord;
@@ -119,6 +120,8 @@
   /** Workers that are not listed, whose runs are kept until their leases must have ended. */
   private final Set<String> unlistedWorkers = new HashSet<>();
 
+  private final AdmissionBacklog backlog;
+  private final AdmissionControl admission;
   private boolean ready;
   private boolean closed;
   private boolean placementScheduled;
@@ -179,6 +182,11 @@
             Urgency.of(submission, step, loop.nowMs(), runTimes, customers.shareRank(submission));
     this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
+    this.backlog = new AdmissionBacklog(runTimes, loop::nowMs);
+    this.admission =
+        new AdmissionControl(
+            loop, backlog, new AdmissionCell(), customerDirectory, customers::rankIfAccepted);
+    this.taskListeners.add(backlog);
   }
 
   /** Fences earlier coordinators and loads progress, submissions and workers. */
@@ -255,6 +263,7 @@
     progressRecords.keySet().removeAll(jobs.keySet());
     progressRecords.keySet().removeAll(endedJobs.keySet());
     ready = true;
+    admission.start();
     logger.atInfo().log(
         "shard: Took over in %d ms, epoch %d: %d open jobs, %d ended.",
         TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - electedNs),
@@ -313,6 +322,9 @@
    */
   void onAnnounced(String key, byte[] value, boolean isStored) {
     String jobId = SubmissionKeys.submittedJob(key);
+    if (jobId != null) {
+      admission.onAnnounced(jobId);
+    }
     if (ready && !closed && jobId != null) {
       onSubmission(jobId, new StoredRecord(NO_OFFSET, key, value), isStored);
     }
@@ -359,12 +371,16 @@
     ScheduledJob job = new ScheduledJob(progress, isAccepted);
     jobs.put(jobId, job);
     taskListeners.forEach(listener -> listener.onJobOpened(job));
+    if (!progress.state().isFinal()) {
+      backlog.add(progress, stored.value().length);
+    }
     progress.placedTasks().forEach(task -> notifyPlaced(job, task));
     adoptPlacements(job, sessions.keySet());
     if (!isAccepted) {
       loop.schedule(ANNOUNCED_JOB_TTL_MS, () -> dropUnlessAccepted(job));
     }
     progress.startDueOccurrences(loop.nowMs());
+    backlog.addOccurrences(progress);
     if (ready) {
       logger.atInfo().log(
           "job: %s added, queue %s, %d steps, offset %d.",
@@ -392,6 +408,7 @@
     }
     jobs.remove(job.id());
     taskListeners.forEach(listener -> listener.onJobClosed(job));
+    backlog.remove(job.id());
     pendingJobs.remove(job);
     approvals.removeJob(job.id());
     ledger.markDirty(job.id(), () -> Entry.tombstone(job.id()).value());
@@ -737,6 +754,9 @@
   private void onProgressChanged(ScheduledJob job) {
     markDirty(job);
     WorkloadState state = job.progress.state();
+    if (state.isFinal()) {
+      backlog.remove(job.id());
+    }
     boolean expired = state.isFinal() && job.progress.placedTasks().isEmpty();
     if (state != job.storedState || expired) {
       ledger.runAfterStored(() -> onProgressStored(job, state));
@@ -810,6 +830,39 @@
     return queued;
   }
 
+  /** Returns the control that decides which jobs are accepted while this host coordinates. */
+  AdmissionControl admission() {
+    return admission;
+  }
+
+  /** Shows the admission control the state of this scheduler. */
+  private final class AdmissionCell implements AdmissionControl.Cell {
+
+    @Override
+    public Stream<WorkerAllocation> schedulableWorkers() {
+      return sessions.values().stream()
+          .filter(WorkerSession::isSchedulable)
+          .map(WorkerSession::allocation);
+    }
+
+    @Override
+    public boolean isKnown(String jobId) {
+      return jobs.containsKey(jobId)
+          || endedJobs.containsKey(jobId)
+          || cancelledJobs.contains(jobId);
+    }
+
+    @Override
+    public boolean hasFreshSubmissions() {
+      return JobScheduler.this.hasFreshSubmissions();
+    }
+
+    @Override
+    public long submissionsAgeMs() {
+      return submissionReaders.stream().mapToLong(SubmissionReader::readAgeMs).max().orElse(0);
+    }
+  }
+
   // Placement
 
   private void tick() {
@@ -821,6 +874,7 @@
     for (ScheduledJob job : jobs.values()) {
       if (job.progress.submission().spec().repetitions() > 0) {
         job.progress.startDueOccurrences(nowMs);
+        backlog.addOccurrences(job.progress);
         pendingJobs.add(job);
       }
     }
--- a/domain/src/main/java/org/hickorymoor/domain/customer/SubmissionRate.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/SubmissionRate.java
@@ -38,6 +38,12 @@
     return true;
   }
 
+  /** Returns whether a job that is accepted now would be within the rate. */
+  public boolean hasToken(double weight, long nowMs) {
+    refill(weight, nowMs);
+    return tokens + ROUNDING >= 1;
+  }
+
   /** Returns whether the bucket is full, so that it behaves like a new one. */
   public boolean isFull(double weight, long nowMs) {
     refill(weight, nowMs);
