Test that a silent connection to the store is noticed within its wait

A trial with five mutants of daemon.cellconfig showed that the fallback 200 ms beyond a read's wait was untested: without it the read's time-out, 500 ms later, still led to peers. The new test fails on that mutant. The other four (age of a peer's confirmation ignored, version not compared, steady clock alone, no question back) failed the tests that guard them.

ConfigFollowerTest, TaggedCodecTest and ShardTest pass.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ConfigFollowerTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ConfigFollowerTest.java
@@ -187,6 +187,18 @@
     assertThat(version("h1")).isEqualTo(2);
   }
 
+  // Guards against a connection to the store that has gone silent, which no failure shows in time.
+  @Test
+  void hostWhoseReadIsUnansweredBeyondItsWaitAsksPeers() {
+    startHosts(2);
+    publish("1");
+    time.advance(20);
+    store.refuseHost("h1", true);
+    publish("2");
+
+    assertThat(time.advanceUntil(1_250, () -> allHave(2))).isTrue();
+  }
+
   // Guards against the steady clock, which stands still while a host is suspended, and against an
   // outage after which a host waits for one more poll.
   @Test
