--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionBacklog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionBacklog.java
@@ -1,13 +1,12 @@
 package org.hickorymoor.daemon.shard;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.SortedMap;
-import java.util.TreeMap;
+import java.util.Set;
+import java.util.function.LongSupplier;
 import org.hickorymoor.domain.customer.CustomerPolicy;
 import org.hickorymoor.domain.workload.JobProgress;
 import org.hickorymoor.domain.workload.RunTimes;
@@ -22,12 +21,25 @@
  *
  * <p>Sums are updated with each placement and end of a task, so that a question costs no pass over
  * jobs. The work of a waiting task counts in full, that of a placed one by half, which is what it
- * has left on average. Waiting work of jobs whose results would come too late doesn't count, since
- * it goes behind all other work. Long-running and best-effort tasks don't count: the former never
- * drain, and the latter reserve no processors. Not thread-safe; confined to the event loop thread.
+ * has left on average. Long-running and best-effort tasks don't count: the former never drain, and
+ * the latter reserve no processors.
+ *
+ * <p>Within a priority the nearest deadline goes first. Therefore only the work of jobs that must
+ * complete within a similar or a shorter time delays a job; the times are compared by powers of
+ * two.
+ *
+ * <p>Not thread-safe; confined to the event loop thread.
  */
 final class AdmissionBacklog implements TaskListener {
 
+  /** Whether the results of a job can still be useful. */
+  private enum Usefulness {
+    USEFUL,
+    TOO_LATE,
+    /** Too late for so long that its waiting work doesn't count any more. */
+    FORGOTTEN
+  }
+
   /** Work of the waiting and placed tasks of one open job. */
   private static final class Account {
     private final Submission submission;
@@ -41,7 +53,8 @@
     private long placedCoreMs;
     private int placedTasks;
     private boolean begun;
-    private boolean tooLate;
+    private Usefulness usefulness = Usefulness.USEFUL;
+    private long precedence;
 
     Account(Submission submission, int bytes, RunTimes runTimes) {
       this.submission = submission;
@@ -56,48 +69,26 @@
       }
     }
 
-    long counted() {
-      return (tooLate ? 0 : waitingCoreMs) + placedCoreMs / 2;
+    long usefulCoreMs() {
+      return (usefulness == Usefulness.USEFUL ? waitingCoreMs : 0) + placedCoreMs / 2;
     }
 
-    boolean isQueued() {
-      return !begun && placedTasks == 0;
+    long staleCoreMs() {
+      return usefulness == Usefulness.TOO_LATE ? waitingCoreMs : 0;
     }
-  }
-
-  /** A Unix time at which a job may have become too late to be useful. */
-  private record Expiry(long atMs, String jobId) {}
-
-  /** Work by priority. */
-  private static final class WorkByPriority {
-    private final SortedMap<Integer, Long> coreMs = new TreeMap<>();
 
-    void add(int priority, long delta) {
-      coreMs.merge(priority, delta, Long::sum);
-      coreMs.remove(priority, 0L);
+    @Nullable String customer() {
+      CustomerPolicy policy = submission.customer();
+      return policy == null ? null : policy.name();
     }
 
-    long upTo(int priority) {
-      long sum = 0;
-      for (Map.Entry<Integer, Long> entry : coreMs.entrySet()) {
-        if (entry.getKey() > priority) {
-          break;
-        }
-        sum += entry.getValue();
-      }
-      return sum;
+    boolean isQueued() {
+      return !begun && placedTasks == 0;
     }
   }
 
-  /** The open jobs of one service. */
-  private static final class ServiceWork {
-    private final WorkByPriority total = new WorkByPriority();
-    private final Map<String, WorkByPriority> byCustomer = new HashMap<>();
-    private long waitingTasks;
-    private long waitingCpuMillis;
-    private long waitingMemoryMb;
-    private long waitingAccelerators;
-  }
+  /** A Unix time at which a job may have become too late to be useful. */
+  private record Expiry(long atMs, String jobId) {}
 
   /** The open jobs of one customer. */
   private static final class CustomerJobs {
@@ -112,17 +103,17 @@
   }
 
   /**
-   * Mean resource requests of the waiting tasks of a service.
-   *
-   * @param cpuMillis thousandths of a core
-   * @param memoryMb memory
-   * @param accelerators number of accelerators
+   * How long the waiting work of a job that is too late counts; the longest delay of a refused job.
+   * Tasks that fit on no worker would otherwise count for ever.
    */
-  record MeanDemand(long cpuMillis, long memoryMb, long accelerators) {}
+  private static final long STALE_TTL_MS = 30_000;
+
+  private static final int TIME_CLASSES = 64;
 
   private final RunTimes runTimes;
+  private final LongSupplier nowMs;
   private final Map<String, Account> accounts = new HashMap<>();
-  private final Map<String, ServiceWork> services = new HashMap<>();
+  private final Map<String, ServiceBacklog> services = new HashMap<>();
   private final Map<String, CustomerJobs> customers = new HashMap<>();
   private final PriorityQueue<Expiry> expiries =
       new PriorityQueue<>(Comparator.comparingLong(Expiry::atMs));
@@ -131,9 +122,11 @@
    * Creates an empty backlog.
    *
    * @param runTimes expected run times of tasks
+   * @param nowMs gives the Unix time
    */
-  AdmissionBacklog(RunTimes runTimes) {
+  AdmissionBacklog(RunTimes runTimes, LongSupplier nowMs) {
     this.runTimes = runTimes;
+    this.nowMs = nowMs;
   }
 
   /**
@@ -142,9 +135,8 @@
    *
    * @param progress the job
    * @param bytes size of its submission
-   * @param nowMs Unix time
    */
-  void add(JobProgress progress, int bytes, long nowMs) {
+  void add(JobProgress progress, int bytes) {
     Submission submission = progress.submission();
     if (accounts.containsKey(submission.jobId())) {
       return;
@@ -160,11 +152,16 @@
       jobs.queuedJobs++;
       jobs.bytes += bytes;
     }
-    addOccurrences(progress);
     long criticalPathMs = submission.spec().criticalPathMs(index -> account.stepsMs[index]);
-    long usefulMs = WorkEstimates.usefulWithinMs(submission, criticalPathMs, nowMs);
+    long addedMs = nowMs.getAsLong();
+    long usefulMs = WorkEstimates.usefulWithinMs(submission, criticalPathMs, addedMs);
+    account.precedence =
+        precedence(
+            submission.policy().priority(),
+            WorkEstimates.usefulWindowMs(submission, criticalPathMs));
+    addOccurrences(progress);
     if (submission.spec().repetitions() == 0 && usefulMs < Long.MAX_VALUE) {
-      account.usefulUntilMs = nowMs + usefulMs;
+      account.usefulUntilMs = addedMs + usefulMs;
       expiries.add(new Expiry(account.usefulUntilMs - criticalPathMs, submission.jobId()));
     }
   }
@@ -207,16 +204,20 @@
     for (int step = 0; step < account.waitingTasks.length; step++) {
       countDemand(account, step, -account.waitingTasks[step]);
     }
-    long counted = account.counted();
-    account.waitingCoreMs = 0;
-    account.placedCoreMs = 0;
-    countWork(account, counted);
+    change(
+        account,
+        () -> {
+          account.waitingCoreMs = 0;
+          account.placedCoreMs = 0;
+        });
   }
 
   @Override
   public void onTaskPlaced(ScheduledJob job, TaskProgress task) {
+    expire();
     Account account = accounts.get(task.id().jobId());
     if (account != null) {
+      service(account).recordStart(account.usefulness != Usefulness.USEFUL);
       boolean wasQueued = account.isQueued();
       account.placedTasks++;
       countQueued(account, wasQueued);
@@ -256,103 +257,99 @@
   }
 
   private void addWaiting(Account account, int step, int tasks) {
-    long counted = account.counted();
-    account.waitingCoreMs += tasks * account.taskCoreMs[step];
-    countWork(account, counted);
+    change(account, () -> account.waitingCoreMs += tasks * account.taskCoreMs[step]);
     account.waitingTasks[step] += tasks;
     countDemand(account, step, tasks);
   }
 
   private void addPlaced(Account account, int step, int tasks) {
-    long counted = account.counted();
-    account.placedCoreMs += tasks * account.taskCoreMs[step];
-    countWork(account, counted);
+    change(account, () -> account.placedCoreMs += tasks * account.taskCoreMs[step]);
   }
 
   private void countDemand(Account account, int step, long tasks) {
-    ServiceWork work = service(account);
-    StepSpec spec = account.submission.spec().steps().get(step);
-    work.waitingTasks += tasks;
-    work.waitingCpuMillis += tasks * spec.reservedCpuMillis();
-    work.waitingMemoryMb += tasks * spec.memoryMb();
-    work.waitingAccelerators += tasks * spec.accelerators();
+    service(account).addWaiting(account.submission.spec().steps().get(step), tasks);
   }
 
-  private ServiceWork service(Account account) {
+  private ServiceBacklog service(Account account) {
     return services.computeIfAbsent(
-        account.submission.policy().service(), name -> new ServiceWork());
+        account.submission.policy().service(), name -> new ServiceBacklog());
   }
 
-  /** Brings the sums up to date after the work of a job has changed. */
-  private void countWork(Account account, long countedBefore) {
-    long delta = account.counted() - countedBefore;
-    if (delta == 0) {
-      return;
-    }
-    ServiceWork work = service(account);
-    int priority = account.submission.policy().priority();
-    work.total.add(priority, delta);
-    CustomerPolicy policy = account.submission.customer();
-    if (policy != null) {
-      WorkByPriority own =
-          work.byCustomer.computeIfAbsent(policy.name(), name -> new WorkByPriority());
-      own.add(priority, delta);
-      if (own.coreMs.isEmpty()) {
-        work.byCustomer.remove(policy.name());
-      }
-    }
+  /** Changes the work of a job and brings the sums up to date. */
+  private void change(Account account, Runnable change) {
+    long usefulBefore = account.usefulCoreMs();
+    long staleBefore = account.staleCoreMs();
+    change.run();
+    service(account)
+        .addWork(
+            account.customer(),
+            account.precedence,
+            account.usefulCoreMs() - usefulBefore,
+            account.staleCoreMs() - staleBefore);
   }
 
   /**
-   * Leaves out the waiting work of jobs whose results would come too late. A job that has begun may
-   * still complete in time until then, since less than its critical path remains.
+   * Finds the jobs whose results would come too late by now. A job that has begun may still
+   * complete in time until then, since less than its critical path remains.
    */
-  void expire(long nowMs) {
-    while (!expiries.isEmpty() && expiries.peek().atMs() <= nowMs) {
+  private void expire() {
+    long atMs = nowMs.getAsLong();
+    while (!expiries.isEmpty() && expiries.peek().atMs() <= atMs) {
       String jobId = expiries.remove().jobId();
       Account account = accounts.get(jobId);
       if (account == null) {
         continue;
       }
-      if (!account.isQueued() && nowMs < account.usefulUntilMs) {
+      if (account.usefulness == Usefulness.USEFUL
+          && !account.isQueued()
+          && atMs < account.usefulUntilMs) {
         expiries.add(new Expiry(account.usefulUntilMs, jobId));
         continue;
       }
-      long counted = account.counted();
-      account.tooLate = true;
-      countWork(account, counted);
+      if (account.usefulness == Usefulness.USEFUL) {
+        change(account, () -> account.usefulness = Usefulness.TOO_LATE);
+        expiries.add(new Expiry(atMs + STALE_TTL_MS, jobId));
+      } else {
+        change(account, () -> account.usefulness = Usefulness.FORGOTTEN);
+      }
     }
   }
 
-  /** Returns the work of a customer on a service in jobs of at least a priority, in core-ms. */
-  long customerCoreMs(String service, String customer, int priority) {
-    ServiceWork work = services.get(service);
-    WorkByPriority own = work == null ? null : work.byCustomer.get(customer);
-    return own == null ? 0 : own.upTo(priority);
+  /**
+   * Returns the place of jobs in the order of starts; smaller ones go first.
+   *
+   * @param priority priority of the queue; 0 is the highest
+   * @param usefulWithinMs time within which the job must complete to be useful
+   */
+  static long precedence(int priority, long usefulWithinMs) {
+    int timeClass = TIME_CLASSES - Long.numberOfLeadingZeros(Math.max(0, usefulWithinMs));
+    return (long) priority * TIME_CLASSES + timeClass;
+  }
+
+  /** Returns the work of a customer's jobs up to a precedence on a service, in core-ms. */
+  long customerCoreMs(String service, String customer, long precedence) {
+    expire();
+    ServiceBacklog work = services.get(service);
+    return work == null ? 0 : work.customerCoreMs(customer, precedence);
   }
 
-  /** Returns the work of all jobs of at least a priority on a service, in core-milliseconds. */
-  long totalCoreMs(String service, int priority) {
-    ServiceWork work = services.get(service);
-    return work == null ? 0 : work.total.upTo(priority);
+  /** Returns the work of all jobs up to a precedence on a service, in core-milliseconds. */
+  long totalCoreMs(String service, long precedence) {
+    expire();
+    ServiceBacklog work = services.get(service);
+    return work == null ? 0 : work.totalCoreMs(precedence);
   }
 
   /** Returns the names of the customers that have work on a service. */
-  List<String> customersWithWork(String service) {
-    ServiceWork work = services.get(service);
-    return work == null ? List.of() : new ArrayList<>(work.byCustomer.keySet());
+  Set<String> customersWithWork(String service) {
+    ServiceBacklog work = services.get(service);
+    return work == null ? Set.of() : work.customers();
   }
 
   /** Returns the mean demand of the waiting tasks of a service, or null if none waits. */
-  @Nullable MeanDemand meanWaitingDemand(String service) {
-    ServiceWork work = services.get(service);
-    if (work == null || work.waitingTasks <= 0) {
-      return null;
-    }
-    return new MeanDemand(
-        work.waitingCpuMillis / work.waitingTasks,
-        work.waitingMemoryMb / work.waitingTasks,
-        Math.round((double) work.waitingAccelerators / work.waitingTasks));
+  ServiceBacklog.@Nullable MeanDemand meanWaitingDemand(String service) {
+    ServiceBacklog work = services.get(service);
+    return work == null ? null : work.meanWaitingDemand();
   }
 
   /** Returns the number of a customer's jobs of which no task has been placed. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
@@ -170,15 +170,20 @@
     }
     WorkloadSpec spec = submission.spec();
     long criticalPathMs = WorkEstimates.declaredCriticalPathMs(spec);
+    long usefulWithinMs = WorkEstimates.usefulWithinMs(submission, criticalPathMs, loop.nowMs());
     QueuePolicy queue = submission.policy();
     return AdmissionPolicy.isUnderPressure(
         new AdmissionPolicy.Job(
             shareRank.applyAsInt(submission),
             WorkEstimates.declaredCoreMs(spec),
             criticalPathMs,
-            WorkEstimates.usefulWithinMs(submission, criticalPathMs, loop.nowMs()),
+            usefulWithinMs,
             backlog.bytes(jobId)),
-        load(customer.name(), queue.service(), queue.priority()));
+        load(
+            customer.name(),
+            queue.service(),
+            queue.priority(),
+            WorkEstimates.usefulWindowMs(submission, criticalPathMs)));
   }
 
   /** Decides about a job that a host is about to accept. */
@@ -193,7 +198,8 @@
             Math.max(0, request.criticalPathMs()),
             request.usefulWithinMs(),
             Math.max(0, request.bytes()));
-    Load load = load(request.customer(), request.service(), request.priority());
+    Load load =
+        load(request.customer(), request.service(), request.priority(), request.usefulWithinMs());
     Decision decision = AdmissionPolicy.decide(job, load, loop.random().nextDouble());
     if (!decision.admitted()) {
       logRefusal(request, job, load, decision);
@@ -221,13 +227,13 @@
     return policy == null ? 1 : policy.weight();
   }
 
-  private Load load(String customer, String service, int priority) {
-    backlog.expire(loop.nowMs());
+  private Load load(String customer, String service, int priority, long usefulWithinMs) {
+    long precedence = AdmissionBacklog.precedence(priority, usefulWithinMs);
     ServiceView view = view(service);
     double weight = weightOf(customer);
     return new Load(
-        backlog.customerCoreMs(service, customer, priority),
-        backlog.totalCoreMs(service, priority),
+        backlog.customerCoreMs(service, customer, precedence),
+        backlog.totalCoreMs(service, precedence),
         weight / Math.max(weight, view.weightSum()),
         view.capacityCores(),
         priority == 0 ? view.urgentRoomFree() : view.roomFree(),
@@ -240,7 +246,7 @@
     if (known != null && loop.nowNs() - known.readNs() < SERVICE_VIEW_TTL_MS * NS_PER_MS) {
       return known;
     }
-    AdmissionBacklog.MeanDemand demand = backlog.meanWaitingDemand(service);
+    ServiceBacklog.MeanDemand demand = backlog.meanWaitingDemand(service);
     List<WorkerAllocation> workers =
         cell.schedulableWorkers()
             .filter(worker -> worker.descriptor().service().equals(service))
@@ -267,7 +273,7 @@
   }
 
   private static boolean fits(
-      AdmissionBacklog.MeanDemand demand, WorkerAllocation worker, long keepFreeCpuMillis) {
+      ServiceBacklog.MeanDemand demand, WorkerAllocation worker, long keepFreeCpuMillis) {
     WorkerDescriptor descriptor = worker.descriptor();
     return worker.freeCpuMillis() - keepFreeCpuMillis >= demand.cpuMillis()
         && worker.freeMemoryMb() >= demand.memoryMb()
@@ -289,8 +295,9 @@
     loggedNs.put(request.customer(), nowNs);
     CustomerDirectory directory = customers.get();
     logger.atInfo().log(
-        "admission: Job %s of customer %s refused for %d ms: %s. Rank %d, needs %d core-ms, path %d"
-            + " ms; backlog %d of %d core-ms of priority %d or higher; share %.4f of %.1f cores of"
+        "admission: Job %s of customer %s is refused, retry after %d ms: %s. Rank %d, needs"
+            + " %d core-ms, path %d ms; backlog %d of %d core-ms before priority %d and %d ms;"
+            + " share %.4f of %.1f cores of"
             + " service %s, determined %d ms ago; submissions read %d ms ago; configuration %d.",
         request.jobId(),
         request.customer(),
@@ -302,6 +309,7 @@
         load.customerCoreMs(),
         load.totalCoreMs(),
         request.priority(),
+        request.usefulWithinMs(),
         load.entitledShare(),
         load.capacityCores(),
         request.service(),
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -118,7 +118,7 @@
   /** Workers that are not listed, whose runs are kept until their leases must have ended. */
   private final Set<String> unlistedWorkers = new HashSet<>();
 
-  private final AdmissionBacklog backlog = new AdmissionBacklog(RunTimes.DECLARED);
+  private final AdmissionBacklog backlog;
   private final AdmissionControl admission;
   private boolean ready;
   private boolean closed;
@@ -169,6 +169,7 @@
             () -> onSuperseded.accept("the ledger has a newer epoch"));
     this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
+    this.backlog = new AdmissionBacklog(RunTimes.DECLARED, loop::nowMs);
     this.admission =
         new AdmissionControl(
             loop, backlog, new AdmissionCell(), () -> CustomerDirectory.EMPTY, submission -> 0);
@@ -352,7 +353,7 @@
     ScheduledJob job = new ScheduledJob(progress, isAccepted);
     jobs.put(jobId, job);
     if (!progress.state().isFinal()) {
-      backlog.add(progress, stored.value().length, loop.nowMs());
+      backlog.add(progress, stored.value().length);
     }
     progress.placedTasks().forEach(task -> notifyPlaced(job, task));
     adoptPlacements(job, sessions.keySet());
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkEstimates.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkEstimates.java
@@ -49,19 +49,26 @@
   }
 
   /**
-   * Returns the time from now within which a job must complete to be useful; the largest number if
-   * it runs until it is cancelled or has no deadline in practice.
+   * Returns the time from its start within which a job must complete to be useful; the largest
+   * number if it runs until it is cancelled or has no deadline in practice.
    */
-  static long usefulWithinMs(Submission submission, long criticalPathMs, long nowMs) {
-    WorkloadSpec spec = submission.spec();
-    if (spec.steps().stream().anyMatch(StepSpec::longRunning)) {
+  static long usefulWindowMs(Submission submission, long criticalPathMs) {
+    if (submission.spec().steps().stream().anyMatch(StepSpec::longRunning)) {
       return Long.MAX_VALUE;
     }
-    long startMs = spec.repetitions() == 0 ? submission.acceptedAtMs() : Math.max(0, spec.dueMs(0));
     long objectiveMs = submission.policy().objectiveMs(criticalPathMs);
-    if (objectiveMs < 0 || objectiveMs > UNLIMITED_MS || startMs - nowMs > UNLIMITED_MS) {
-      return Long.MAX_VALUE;
-    }
-    return startMs - nowMs + AdmissionPolicy.USEFUL_OBJECTIVES * objectiveMs;
+    return objectiveMs < 0 || objectiveMs > UNLIMITED_MS
+        ? Long.MAX_VALUE
+        : AdmissionPolicy.USEFUL_OBJECTIVES * objectiveMs;
+  }
+
+  /** Returns the time from now within which a job must complete to be useful. */
+  static long usefulWithinMs(Submission submission, long criticalPathMs, long nowMs) {
+    long windowMs = usefulWindowMs(submission, criticalPathMs);
+    WorkloadSpec spec = submission.spec();
+    long startMs = spec.repetitions() == 0 ? submission.acceptedAtMs() : Math.max(0, spec.dueMs(0));
+    return windowMs == Long.MAX_VALUE || startMs - nowMs > UNLIMITED_MS
+        ? Long.MAX_VALUE
+        : startMs - nowMs + windowMs;
   }
 }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ShardTest.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Objects;
+import org.hickorymoor.daemon.peer.PeerReply;
 import org.hickorymoor.daemon.peer.PeerRequest;
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.domain.workload.Submission;
@@ -34,6 +35,21 @@
     assertThat(cell.workers.violations()).isEmpty();
   }
 
+  // Guards against hosts that take the reply of another follower for an admission or a refusal.
+  @Test
+  void onlyTheCoordinatorAnswersWhetherJobIsAccepted() {
+    final String coordinator = cell.awaitCoordinator();
+    var question =
+        new PeerRequest.AdmitSubmission("job", "customer", "queue", "pool", 0, 1, 1, 1, 1);
+
+    var answer = cell.shard(coordinator).handle(question);
+    var other = cell.shard(hostOtherThan(coordinator)).handle(question);
+    cell.time.advance(10);
+
+    assertThat(answer.join()).isEqualTo(new PeerReply.AdmissionReply(true, 0, ""));
+    assertThat(other.join()).isInstanceOf(PeerReply.Refused.class);
+  }
+
   @Test
   void runsOnWorkerThatIsNoLongerListedStartAgainElsewhereAfterTakeover() {
     cell.workers.durations(() -> Long.MAX_VALUE);
