Remember announced jobs also while a takeover is under way

A job that is announced before the coordinator has read the ledger may be stored as any other, so its retry must not be refused within 30 s either.

The tests of the platform module, AdmissionControlTest, ShardTest, ShardFaultsTest and LateSubmissionTest pass.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -306,8 +306,10 @@
    */
   void onAnnounced(String key, byte[] value, boolean isStored) {
     String jobId = SubmissionKeys.submittedJob(key);
-    if (ready && !closed && jobId != null) {
+    if (jobId != null) {
       admission.onAnnounced(jobId);
+    }
+    if (ready && !closed && jobId != null) {
       onSubmission(jobId, new StoredRecord(NO_OFFSET, key, value), isStored);
     }
   }
