Answer 503 for submissions whose every attempt was refused

Records that waited unsent had no timeout of their own. - A relay ran for as long at the peer as the caller waits for it, so a late refusal was never seen. - AsyncHttpClient took a call that never got a connection for possibly executed, and lost the status 503 of a server that closes the connection without reading the request.

Ruled out: HedgedAppend; it keeps an unanswered attempt apart from a refusal.

--- a/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -15,6 +16,7 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.hickorymoor.daemon.port.PlatformException;
@@ -167,12 +169,14 @@
       request.body(new BytesRequestContent("application/json", body));
     }
     request.timeout(timeoutMs, TimeUnit.MILLISECONDS);
+    AtomicBoolean begun = new AtomicBoolean();
+    request.onRequestBegin(sending -> begun.set(true));
     request.send(
         new BufferingResponseListener(maxResponseBytes) {
           @Override
           public void onComplete(Result result) {
             if (result.isFailed()) {
-              future.completeExceptionally(failure(url, result.getFailure()));
+              completeFailed(future, url, result, begun.get());
               return;
             }
             byte[] content = getContent();
@@ -184,8 +188,22 @@
     return future;
   }
 
-  private static PlatformException failure(String url, @Nullable Throwable cause) {
-    Type type = Type.NO_RESPONSE;
+  /** Completes a call that failed, which an overloaded target may have refused before. */
+  private static void completeFailed(
+      CompletableFuture<Response> future, String url, Result result, boolean begun) {
+    int status = result.getResponse() == null ? 0 : result.getResponse().getStatus();
+    if (status == HttpStatus.TOO_MANY_REQUESTS_429
+        || status == HttpStatus.SERVICE_UNAVAILABLE_503) {
+      // An overloaded target may refuse a call and close the connection without reading its body.
+      // The status alone says that nothing was done.
+      future.complete(new Response(status, new byte[0]));
+    } else {
+      future.completeExceptionally(failure(url, result.getFailure(), begun));
+    }
+  }
+
+  private static PlatformException failure(String url, @Nullable Throwable cause, boolean begun) {
+    Type type = begun ? Type.NO_RESPONSE : Type.NOT_SENT;
     if (cause instanceof ConnectException) {
       type = Type.UNREACHABLE;
     } else if (cause instanceof EOFException) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/port/PlatformException.java
@@ -5,8 +5,8 @@
 /**
  * Thrown when a call to the platform fails.
  *
- * <p>The call may have taken effect only for {@link Type#NO_RESPONSE} and {@link
- * Type#BAD_RESPONSE}.
+ * <p>The call may have taken effect only for {@link Type#NO_RESPONSE}, {@link
+ * Type#CONNECTION_CLOSED} and {@link Type#BAD_RESPONSE}.
  */
 public final class PlatformException extends Exception {
 
@@ -17,6 +17,9 @@
     /** The connection could not be established; the call had no effect. */
     UNREACHABLE,
 
+    /** The call was not sent, since the limit of calls was reached; it had no effect. */
+    NOT_SENT,
+
     /** No response arrived in time or the connection broke; the call may have taken effect. */
     NO_RESPONSE,
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
@@ -31,6 +31,12 @@
    */
   static final long TIMEOUT_MS = 1_600;
 
+  /**
+   * Timeout of an append for another host. Shorter than that host waits for the relay, so that a
+   * refusal arrives while it still counts.
+   */
+  static final long RELAYED_TIMEOUT_MS = 1_400;
+
   /** Peers tried for an append before a request is refused. */
   private static final int MAX_RELAY_PEERS = 2;
 
@@ -48,6 +54,9 @@
   private boolean uncertain;
   private int peersTried;
 
+  /** Longest time that a refusal has taken. */
+  private long slowestRefusalMs;
+
   /**
    * Creates an append.
    *
@@ -91,6 +100,7 @@
   }
 
   private void tryStore() {
+    final long sentNs = loop.nowNs();
     loop.then(
         submissions.append(key, value, timeoutMs()),
         (done, failure) -> {
@@ -98,7 +108,7 @@
             result.complete(StoreResult.YES);
             return;
           }
-          uncertain |= failure.mayHaveTakenEffect();
+          recordFailure(failure.mayHaveTakenEffect(), sentNs);
           if (!completeIfOver()) {
             tryPeer();
           }
@@ -136,13 +146,23 @@
       result.complete(StoreResult.YES);
       return;
     }
-    uncertain |= !isDefiniteRefusal(reply) && !PeerException.isUnreachable(failure);
+    recordFailure(mayBeStored(reply, failure), sentNs);
     onFailed.run();
   }
 
-  private static boolean isDefiniteRefusal(@Nullable PeerReply reply) {
-    return reply instanceof PeerReply.Refused refused
-        && (refused.type() == PeerErrorType.OVERLOADED || refused.type() == PeerErrorType.STOPPING);
+  /** Returns whether a relay that was not confirmed may have stored the record. */
+  private static boolean mayBeStored(@Nullable PeerReply reply, @Nullable Throwable failure) {
+    if (failure != null) {
+      return PeerException.mayHaveReachedPeer(failure);
+    }
+    return !(reply instanceof PeerReply.Refused refused)
+        || refused.type() == PeerErrorType.INTERNAL;
+  }
+
+  private void recordFailure(boolean mayHaveTakenEffect, long sentNs) {
+    uncertain |= mayHaveTakenEffect;
+    slowestRefusalMs =
+        Math.max(slowestRefusalMs, TimeUnit.NANOSECONDS.toMillis(loop.nowNs() - sentNs));
   }
 
   private void retryLater() {
@@ -152,7 +172,12 @@
   }
 
   private boolean completeIfOver() {
-    boolean certainlyNotStored = !uncertain && peersTried >= MAX_RELAY_PEERS;
+    // A further attempt that is refused as late as the slowest one would end without an answer, and
+    // the outcome would be unknown for no other reason.
+    boolean certainlyNotStored =
+        !uncertain
+            && (peersTried >= MAX_RELAY_PEERS
+                || remainingMs() <= RETRY_DELAY_MS + slowestRefusalMs);
     if (remainingMs() > RETRY_DELAY_MS && !certainlyNotStored) {
       return false;
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -385,7 +385,10 @@
   public CompletableFuture<PeerReply> handle(PeerRequest request) {
     if (request instanceof PeerRequest.RelaySubmission relay) {
       return submissions
-          .append(relay.key(), ByteBuffers.copyRemaining(relay.value()), RelayedAppend.TIMEOUT_MS)
+          .append(
+              relay.key(),
+              ByteBuffers.copyRemaining(relay.value()),
+              RelayedAppend.RELAYED_TIMEOUT_MS)
           .handle((done, failure) -> toRelayReply(ShardEventLoop.unwrap(failure)));
     }
     if (request instanceof PeerRequest.AskApproval ask) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/SubmissionWriter.java
@@ -41,7 +41,7 @@
   /** Latency of appends from which the store counts as slow; it usually takes 4 to 70 ms. */
   private static final long SLOW_LATENCY_MS = 150;
 
-  private record Pending(Entry entry, CompletableFuture<Void> stored) {}
+  private record Pending(Entry entry, long deadlineNs, CompletableFuture<Void> stored) {}
 
   private final ShardEventLoop loop;
   private final KeyedLogPort log;
@@ -89,11 +89,16 @@
    *
    * @param key key of the record
    * @param value content of the record
-   * @param timeoutMs timeout of the append
-   * @return completes when the record is stored; fails with a {@link PlatformException}
+   * @param timeoutMs timeout of the append, including the wait for earlier ones
+   * @return completes when the record is stored; fails with a {@link PlatformException} within the
+   *     timeout, which is a refusal if the record was never sent
    */
   CompletableFuture<Void> append(String key, byte[] value, long timeoutMs) {
-    Pending pending = new Pending(new Entry(key, value), new CompletableFuture<>());
+    Pending pending =
+        new Pending(
+            new Entry(key, value),
+            loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(timeoutMs),
+            new CompletableFuture<>());
     loop.execute(
         () -> {
           if (storeUnavailable) {
@@ -101,12 +106,37 @@
             return;
           }
           queue.add(pending);
-          flush(timeoutMs);
+          loop.schedule(timeoutMs, () -> expire(pending, timeoutMs));
+          flush();
         });
     return pending.stored();
   }
 
-  private void flush(long timeoutMs) {
+  /** Ends the wait of a record: it is refused if it was not sent, else it may be stored later. */
+  private void expire(Pending pending, long timeoutMs) {
+    if (pending.stored().isDone()) {
+      return;
+    }
+    PlatformException failure =
+        queue.remove(pending)
+            ? notSent()
+            : new PlatformException(
+                PlatformException.Type.NO_RESPONSE,
+                "append not answered within " + timeoutMs + " ms");
+    pending.stored().completeExceptionally(failure);
+  }
+
+  /**
+   * Returns the timeout of a batch, which is that of its record with the most time left: a record
+   * whose time is nearly up must not make the outcome of the others unknown.
+   */
+  private long timeoutMs(List<Pending> batch) {
+    long latestNs =
+        batch.stream().mapToLong(pending -> pending.deadlineNs() - loop.nowNs()).max().orElse(0);
+    return Math.max(1, TimeUnit.NANOSECONDS.toMillis(latestNs));
+  }
+
+  private void flush() {
     if (queue.isEmpty() || appending || probing) {
       return;
     }
@@ -121,6 +151,7 @@
     appending = true;
     KeyedStream partition = currentPartition.get();
     List<Entry> entries = batch.stream().map(Pending::entry).toList();
+    long timeoutMs = timeoutMs(batch);
     loop.then(
         HedgedAppend.send(
             loop,
@@ -137,7 +168,7 @@
               pending.stored().completeExceptionally(failure);
             }
           }
-          flush(timeoutMs);
+          flush();
         });
   }
 
@@ -199,7 +230,7 @@
           probing = false;
           storeUnavailable = false;
           logger.atInfo().log("submissions: Store answers, resuming appends.");
-          flush(RelayedAppend.TIMEOUT_MS);
+          flush();
         });
   }
 
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
@@ -47,6 +47,7 @@
   private final Map<KeyedStream, Stream> streams = new EnumMap<>(KeyedStream.class);
   private final Set<String> refusedHosts = new HashSet<>();
   private boolean unresponsive;
+  private boolean busy;
   private int appends;
   private long answerMs = DEFAULT_LATENCY_MS;
   private long serialAppendMs;
@@ -82,6 +83,11 @@
     unresponsive = on;
   }
 
+  /** Sets whether every call of all hosts is refused, as by a store that is overloaded. */
+  void setBusy(boolean on) {
+    busy = on;
+  }
+
   void refuseHost(String host, boolean on) {
     if (on) {
       refusedHosts.add(host);
@@ -168,7 +174,7 @@
             if (unresponsive) {
               return;
             }
-            if (refusedHosts.contains(host)) {
+            if (busy || refusedHosts.contains(host)) {
               future.completeExceptionally(new PlatformException(Type.REFUSED, "turned away"));
               return;
             }
@@ -286,7 +292,7 @@
                 }
                 Runnable deliver =
                     () -> {
-                      if (!unresponsive && !refusedHosts.contains(host)) {
+                      if (!unresponsive && !busy && !refusedHosts.contains(host)) {
                         future.complete(chunk.get());
                       }
                     };
