Throttle best-effort runs in a class of their own and retry requests

Cause: a successor took each adopted run for one at full speed and never sent 100 % to a throttled one. A refused request counted as carried out. A request that a worker executed late could override the one that replaced it. Runs stayed throttled once no latency-sensitive run was left beside them.

Change: BestEffortThrottle takes the reported speed of adopted runs for the requested one and continues from it, repeats requests that were refused or not answered with the next report, and compares the speed with reports for 15 s after a request without an answer. WorkerEvacuation holds what stops runs of workers that are taken away.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -10,8 +10,6 @@
  */
 final class Placement {
 
-  static final int FULL_SPEED_PERCENT = 100;
-
   /** A run that its worker has survived for this long is not suspected of crashing it. */
   static final long STARTUP_MS = 500;
 
@@ -38,18 +36,19 @@
   long startedNs;
 
   /** Whether an earlier coordinator sent the start request, so that its time is unknown. */
-  boolean adopted;
+  final boolean adopted;
 
-  int desiredPercent = FULL_SPEED_PERCENT;
-  int requestedPercent = FULL_SPEED_PERCENT;
+  final BestEffortThrottle.RunSpeed speed;
 
   /** Whether the start request can't have reached an incarnation that no report has come from. */
   boolean incarnationKnown;
 
-  Placement(TaskProgress task, int run, WorkerAllocation allocation) {
+  Placement(TaskProgress task, int run, WorkerAllocation allocation, boolean adopted) {
     this.task = task;
     this.run = run;
     this.allocation = allocation;
+    this.adopted = adopted;
+    this.speed = new BestEffortThrottle.RunSpeed(adopted);
   }
 
   TaskProgress task() {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.hickorymoor.daemon.port.PlatformException;
@@ -125,32 +124,12 @@
    */
   private static final long DRAINING_WORKER_LEASE_MS = 4_000;
 
-  /**
-   * Time before a worker is taken away at which its last runs are stopped; covers a slow stop and
-   * the age of the announcement.
-   */
-  private static final long EVACUATION_STOP_MS = 1_000;
-
   /** How long an acknowledgement waits for the responses to start requests. */
   private static final long ACKNOWLEDGEMENT_DELAY_MS = 50;
 
   /** Interval of lease renewals while the ends of runs can't be stored. */
   private static final long RENEW_INTERVAL_MS = 1_000;
 
-  /**
-   * Response time of a latency-sensitive task, as a share of its target, above which best-effort
-   * runs beside it are slowed down.
-   */
-  private static final double THROTTLE_ABOVE_SHARE = 0.85;
-
-  /**
-   * Response time of a latency-sensitive task, as a share of its target, below which best-effort
-   * runs are sped up again.
-   */
-  private static final double UNTHROTTLE_BELOW_SHARE = 0.6;
-
-  private static final int SPEED_STEP_PERCENT = 20;
-
   private final ShardEventLoop loop;
   private final TaskWorkerPort port;
   private final Listener listener;
@@ -210,7 +189,8 @@
   /** The number up to which the worker has received the acknowledgement. */
   private long forgottenEndNumber;
 
-  private int bestEffortPercent = Placement.FULL_SPEED_PERCENT;
+  private final BestEffortThrottle throttle;
+  private final WorkerEvacuation evacuation;
 
   WorkerSession(
       ShardEventLoop loop,
@@ -230,6 +210,18 @@
     this.answeredNs = loop.nowNs();
     this.allocation = new WorkerAllocation(descriptor);
     this.crashSuspects = new CrashSuspects(loop, placements);
+    this.throttle =
+        new BestEffortThrottle(
+            loop,
+            port,
+            () -> this.descriptor,
+            allocation,
+            placements,
+            fencingToken,
+            REQUEST_TIMEOUT_MS,
+            () -> listener.onFenced(this.descriptor.id()));
+    this.evacuation =
+        new WorkerEvacuation(loop, placements, () -> this.descriptor.draining(), this::stop);
   }
 
   WorkerAllocation allocation() {
@@ -245,35 +237,10 @@
     allocation.update(newer);
     requestReport();
     if (drainBegan && newer.remainingMs() >= 0 && newer.remainingMs() < settings.workerDrainMs()) {
-      evacuate(newer.remainingMs());
+      evacuation.begin(newer.id(), newer.remainingMs());
     }
   }
 
-  /**
-   * Stops the runs on a worker that is taken away at short notice, so that they start elsewhere
-   * without waiting for their lease; first those that can't end in time, at last all.
-   */
-  private void evacuate(long remainingMs) {
-    logger.atInfo().log(
-        "worker: %s is taken away in %d ms, %d runs there.",
-        descriptor.id(), remainingMs, placements.size());
-    long lastStopMs = Math.max(0, remainingMs - EVACUATION_STOP_MS);
-    stopRuns(placement -> !placement.isExpectedToEndWithin(lastStopMs, loop.nowNs()));
-    loop.schedule(
-        lastStopMs,
-        () -> {
-          if (descriptor.draining()) {
-            stopRuns(placement -> true);
-          }
-        });
-  }
-
-  private void stopRuns(Predicate<Placement> condition) {
-    List.copyOf(placements.values()).stream()
-        .filter(condition)
-        .forEach(placement -> stop(placement.task));
-  }
-
   /**
    * Notes that the worker is no longer listed.
    *
@@ -320,11 +287,10 @@
    * is there.
    */
   void adopt(TaskProgress task) {
-    Placement placement = add(task);
+    Placement placement = add(task, true);
     placement.acknowledgedNs = loop.nowNs();
     placement.acknowledged = true;
     placement.startSent = true;
-    placement.adopted = true;
     // Later, so that one report covers all runs that are adopted together.
     loop.execute(this::requestReport);
   }
@@ -333,7 +299,11 @@
    * Reserves capacity for the task's latest run, whose start request follows with {@link #start}.
    */
   Placement add(TaskProgress task) {
-    Placement placement = new Placement(task, task.run(), allocation);
+    return add(task, false);
+  }
+
+  private Placement add(TaskProgress task, boolean adopted) {
+    Placement placement = new Placement(task, task.run(), allocation, adopted);
     allocation.reserve(task.id(), task.run(), task.spec());
     placements.put(task.id().toString(), placement);
     crashSuspects.runPlaced(placement);
@@ -438,7 +408,7 @@
         if (placement.startedNs == 0) {
           onStarted(placement);
         }
-        updateSpeed(placement);
+        throttle.update(placement);
       }
       case FENCED -> listener.onFenced(descriptor.id());
       case STALE_RUN -> markAcknowledged(placement);
@@ -863,7 +833,7 @@
       detectLostRuns(present, sentNs);
     }
     markKnownIncarnations(present, sentNs);
-    adjustBestEffortSpeed(report.running());
+    throttle.onReport(report.running(), sentNs);
     if (recovered) {
       listener.onWorkerSchedulable();
     }
@@ -994,60 +964,6 @@
     }
   }
 
-  private void adjustBestEffortSpeed(List<ActiveRun> rows) {
-    if (allocation.bestEffortRuns() == 0 || allocation.latencySensitiveRuns() == 0) {
-      bestEffortPercent = Placement.FULL_SPEED_PERCENT;
-      return;
-    }
-    double worstLoadShare = 0;
-    for (ActiveRun row : rows) {
-      Placement placement = placements.get(row.task());
-      if (placement != null
-          && placement.task.spec().responseTimeTargetMs() > 0
-          && row.load() >= 0) {
-        worstLoadShare =
-            Math.max(
-                worstLoadShare, (double) row.load() / placement.task.spec().responseTimeTargetMs());
-      }
-    }
-    if (worstLoadShare > 1) {
-      bestEffortPercent = 0;
-    } else if (worstLoadShare > THROTTLE_ABOVE_SHARE) {
-      bestEffortPercent = bestEffortPercent / 2;
-    } else if (worstLoadShare < UNTHROTTLE_BELOW_SHARE) {
-      bestEffortPercent =
-          Math.min(Placement.FULL_SPEED_PERCENT, bestEffortPercent + SPEED_STEP_PERCENT);
-    }
-    placements.values().forEach(this::updateSpeed);
-  }
-
-  private void updateSpeed(Placement placement) {
-    if (!placement.task.spec().bestEffort() || placement.startedNs == 0) {
-      return;
-    }
-    placement.desiredPercent =
-        allocation.latencySensitiveRuns() == 0 ? Placement.FULL_SPEED_PERCENT : bestEffortPercent;
-    if (placement.desiredPercent == placement.requestedPercent) {
-      return;
-    }
-    int previousPercent = placement.requestedPercent;
-    placement.requestedPercent = placement.desiredPercent;
-    loop.then(
-        port.throttle(
-            descriptor,
-            placement.task.id().toString(),
-            placement.run,
-            placement.desiredPercent,
-            fencingToken,
-            REQUEST_TIMEOUT_MS),
-        (reply, failure) -> {
-          if (reply == null) {
-            placement.requestedPercent = previousPercent;
-            logger.atFine().log("worker: Setting the speed of %s failed.", placement.task.id());
-          }
-        });
-  }
-
   /** Stops sending requests and renewing the lease. */
   void close() {
     closed = true;
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeWorkers.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import org.hickorymoor.daemon.port.KeyedStream;
 import org.hickorymoor.daemon.port.PlatformException;
 import org.hickorymoor.daemon.port.PlatformException.Type;
@@ -54,6 +55,7 @@
   private static final class Run {
     private final String task;
     private final int number;
+    private int percent = 100;
 
     Run(String task, int number) {
       this.task = task;
@@ -305,12 +307,29 @@
           clockMs(),
           incarnation,
           running.values().stream()
-              .map(run -> new TaskWorkerPort.ActiveRun(run.task, run.number, "", 100, -1))
+              .map(
+                  run ->
+                      new TaskWorkerPort.ActiveRun(
+                          run.task, run.number, "", run.percent, loads.applyAsLong(run.task)))
               .toList(),
           List.copyOf(ended),
           true);
     }
 
+    private TaskWorkerPort.WorkerReply throttle(String task, int percent) {
+      Run run = running.get(task);
+      if (throttleOutcome == TaskWorkerPort.Outcome.ACCEPTED && run != null) {
+        run.percent = percent;
+      }
+      return reply(throttleOutcome);
+    }
+
+    /** Returns the speed of a run as a percentage of full speed; -1 if it doesn't run here. */
+    int speedPercent(String task) {
+      Run run = running.get(task);
+      return run == null ? -1 : run.percent;
+    }
+
     private TaskWorkerPort.WorkerReply reply(TaskWorkerPort.Outcome outcome) {
       return new TaskWorkerPort.WorkerReply(outcome, clockMs());
     }
@@ -336,6 +355,10 @@
   private int crashes;
   private boolean checkFencingToken = true;
 
+  private ToLongFunction<String> loads = task -> -1;
+  private TaskWorkerPort.Outcome throttleOutcome = TaskWorkerPort.Outcome.ACCEPTED;
+  private int throttleRequests;
+
   FakeWorkers(VirtualTime time, FakeStore store) {
     this.time = time;
     this.store = store;
@@ -459,6 +482,21 @@
     return starts;
   }
 
+  /** Sets the load that workers report for each task; unknown by default. */
+  void loads(ToLongFunction<String> loadOfTask) {
+    loads = loadOfTask;
+  }
+
+  /** Sets how workers answer requests to change the speed of a run. */
+  void throttleOutcome(TaskWorkerPort.Outcome outcome) {
+    throttleOutcome = outcome;
+  }
+
+  /** Returns the number of requests to change the speed of a run. */
+  int throttleRequests() {
+    return throttleRequests;
+  }
+
   static WorkerDescriptor decode(String id, byte[] value) {
     String[] fields = new String(value, UTF_8).split(" ");
     boolean draining = fields[0].equals("draining");
@@ -656,8 +694,14 @@
         int percent,
         long fencingToken,
         long timeoutMs) {
-      return CompletableFuture.completedFuture(
-          new WorkerReply(Outcome.ACCEPTED, get(worker.id()).clockMs()));
+      throttleRequests++;
+      return call(
+          worker,
+          true,
+          0,
+          timeoutMs,
+          FakeWorkers::rejectedCommand,
+          () -> get(worker.id()).throttle(task, percent));
     }
 
     @Override
