Keep large workers for large tasks and reserve workers for starving wide ones

Cause: cost knew only how full a worker is, so small tasks broke up large workers. Wide tasks found no room while small ones took what came free.

Change: a cost for each doubling of the worker beyond what the task takes, except for same-rack gangs, and far below the cost of a remote rack. UrgentHeadroom keeps nothing free beside a task that needs nearly a whole worker on one without reservations. WideTaskReservations keeps the worker whose room comes free first for the step that has waited longest, 2 s or more, for at most 5 s, one per service; higher priorities still start there.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -148,7 +148,10 @@
     this.approvals = new ApprovalCache(loop, approvalDispatcher, this::onApproved);
     this.urgency =
         (submission, step) -> Urgency.of(submission, step, loop.nowMs(), RunTimes.DECLARED, 0);
-    this.placer = new StepPlacer(sessions, approvals, StartLimit.UNLIMITED, this::place);
+    WideTaskReservations reservations =
+        new WideTaskReservations(loop, jobs::get, RunTimes.DECLARED);
+    this.placer =
+        new StepPlacer(sessions, approvals, StartLimit.UNLIMITED, this::place, reservations);
     this.submissionReaders =
         KeyedStream.submissionPartitions().stream()
             .map(partition -> new SubmissionReader(loop, log, partition, this::onSubmissionRecord))
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
@@ -9,6 +9,7 @@
 import org.hickorymoor.domain.workload.QueuePolicy;
 import org.hickorymoor.domain.workload.StepProgress;
 import org.hickorymoor.domain.workload.TaskProgress;
+import org.hickorymoor.domain.workload.UrgentHeadroom;
 import org.hickorymoor.domain.workload.WorkerAllocation;
 import org.jspecify.annotations.Nullable;
 
@@ -26,13 +27,11 @@
     void assign(ScheduledJob job, TaskProgress task, WorkerSession worker, int run);
   }
 
-  /** Share of a worker's processor capacity that is reserved for the most urgent priority, 0. */
-  private static final double URGENT_HEADROOM_SHARE = 0.06;
-
   private final Map<String, WorkerSession> sessions;
   private final ApprovalCache approvals;
   private final StartLimit limit;
   private final Assignment assignment;
+  private final WideTaskReservations reservations;
 
   /** The workers in use of each service, filled on first use in a pass. */
   private final Map<String, List<WorkerSession>> schedulableByService = new HashMap<>();
@@ -44,21 +43,25 @@
    * @param approvals approvals of steps that need them
    * @param limit limits the tasks that may run at a time
    * @param assignment places a task
+   * @param reservations keeps workers free for wide tasks
    */
   StepPlacer(
       Map<String, WorkerSession> sessions,
       ApprovalCache approvals,
       StartLimit limit,
-      Assignment assignment) {
+      Assignment assignment,
+      WideTaskReservations reservations) {
     this.sessions = sessions;
     this.approvals = approvals;
     this.limit = limit;
     this.assignment = assignment;
+    this.reservations = reservations;
   }
 
   /** Begins a pass, which sees the workers as they are now. */
   void beginPass() {
     schedulableByService.clear();
+    reservations.beginPass();
   }
 
   /** Places the idle tasks of a step as far as they fit. */
@@ -78,8 +81,8 @@
         approvalPolicy == null ? schedulable : approvedWorkers(step.name());
     boolean allPlaced =
         step.spec().gang()
-            ? placeGang(job, step, eligible)
-            : placeIndependentTasks(job, step, eligible, permitted);
+            ? placeGang(next, eligible)
+            : placeIndependentTasks(next, eligible, permitted);
     if (!allPlaced && approvalPolicy != null) {
       approvals.request(job.submission(), step, next.urgency(), schedulable, approvalPolicy);
     }
@@ -107,7 +110,8 @@
 
   /** Returns whether all tasks that are permitted to start are placed. */
   private boolean placeIndependentTasks(
-      ScheduledJob job, StepProgress step, List<WorkerSession> eligible, int permitted) {
+      ReadyStep next, List<WorkerSession> eligible, int permitted) {
+    StepProgress step = next.step();
     int placed = 0;
     for (TaskProgress task : step.tasks()) {
       if (task.phase() != TaskProgress.Phase.IDLE) {
@@ -116,25 +120,28 @@
       if (placed == permitted) {
         return true;
       }
-      WorkerSession best = chooseWorker(job, task, eligible, null);
+      WorkerSession best = chooseWorker(next, task, eligible, null);
       if (best == null) {
-        holdWorker(job, task, eligible);
+        holdWorker(next, task, eligible);
+        reservations.onUnplaced(next, task, eligible);
         return false;
       }
-      assignment.assign(job, task, best, task.run() + 1);
+      assignment.assign(next.job(), task, best, task.run() + 1);
+      reservations.onPlaced(step);
       placed++;
     }
     return true;
   }
 
-  private boolean placeGang(ScheduledJob job, StepProgress step, List<WorkerSession> eligible) {
+  private boolean placeGang(ReadyStep next, List<WorkerSession> eligible) {
+    StepProgress step = next.step();
     int run = step.highestRun() + 1;
     // Reserves capacity for each member as it is chosen, so that two members don't count the same
     // capacity; released if a later member finds no worker.
     List<WorkerSession> chosen = new ArrayList<>();
     String rack = null;
     for (TaskProgress task : step.tasks()) {
-      WorkerSession best = chooseWorker(job, task, eligible, step.spec().sameRack() ? rack : null);
+      WorkerSession best = chooseWorker(next, task, eligible, step.spec().sameRack() ? rack : null);
       if (best == null) {
         for (int i = 0; i < chosen.size(); i++) {
           chosen.get(i).allocation().release(step.tasks().get(i).id(), run);
@@ -146,7 +153,7 @@
       chosen.add(best);
     }
     for (int i = 0; i < chosen.size(); i++) {
-      assignment.assign(job, step.tasks().get(i), chosen.get(i), run);
+      assignment.assign(next.job(), step.tasks().get(i), chosen.get(i), run);
     }
     return true;
   }
@@ -155,42 +162,37 @@
    * Keeps a worker free of other starts for a suspected task that can start alone on none. One
    * worker at a time suffices to keep such tasks from waiting for ever.
    */
-  private static void holdWorker(
-      ScheduledJob job, TaskProgress task, List<WorkerSession> eligible) {
+  private void holdWorker(ReadyStep next, TaskProgress task, List<WorkerSession> eligible) {
     if (task.suspectedCrashes() == 0
         || eligible.stream().anyMatch(session -> session.crashSuspects().isHeld())) {
       return;
     }
-    WorkerSession best = chooseWorker(job, task, eligible, null, session -> true);
+    WorkerSession best = chooseWorker(next, task, eligible, null, session -> true);
     if (best != null) {
       best.crashSuspects().holdFor(task);
     }
   }
 
-  private static @Nullable WorkerSession chooseWorker(
-      ScheduledJob job,
-      TaskProgress task,
-      List<WorkerSession> eligible,
-      @Nullable String gangRack) {
-    return chooseWorker(job, task, eligible, gangRack, session -> session.isStartable(task));
+  private @Nullable WorkerSession chooseWorker(
+      ReadyStep next, TaskProgress task, List<WorkerSession> eligible, @Nullable String gangRack) {
+    return chooseWorker(next, task, eligible, gangRack, session -> session.isStartable(task));
   }
 
-  private static @Nullable WorkerSession chooseWorker(
-      ScheduledJob job,
+  private @Nullable WorkerSession chooseWorker(
+      ReadyStep next,
       TaskProgress task,
       List<WorkerSession> eligible,
       @Nullable String gangRack,
       Predicate<WorkerSession> isUsable) {
-    boolean urgent = job.submission().policy().priority() == 0;
+    int priority = next.job().submission().policy().priority();
     WorkerSession best = null;
     double bestCost = Double.MAX_VALUE;
     for (WorkerSession session : eligible) {
       WorkerAllocation allocation = session.allocation();
-      int keepFree =
-          urgent
-              ? 0
-              : (int) Math.round(allocation.descriptor().cpuMillis() * URGENT_HEADROOM_SHARE);
-      if (!allocation.fits(task, keepFree) || !isUsable.test(session)) {
+      int keepFree = UrgentHeadroom.keepFreeCpuMillis(priority, task.spec(), allocation);
+      if (!allocation.fits(task, keepFree)
+          || !isUsable.test(session)
+          || !reservations.permits(next, session)) {
         continue;
       }
       double cost = allocation.cost(task, gangRack);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WorkerSession.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -228,6 +230,11 @@
     return allocation;
   }
 
+  /** Returns the runs that are or may be on the worker. */
+  Collection<Placement> placements() {
+    return Collections.unmodifiableCollection(placements.values());
+  }
+
   /** Applies the latest list entry of the worker. */
   void update(WorkerDescriptor newer) {
     listed = true;
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -22,6 +22,19 @@
    */
   private static final double SLOWDOWN_COST = 1;
 
+  /**
+   * Cost of each doubling of the worker beyond what the task needs. Between workers of half and of
+   * twice the size it outweighs being empty instead of half full, so that small tasks fill small
+   * workers first, and stays far below {@link #REMOTE_RACK_COST}.
+   */
+  private static final double SIZE_COST_PER_DOUBLING = 0.35;
+
+  /**
+   * Doublings from which on a worker costs no more. Workers of very different sizes must not cost
+   * more than a remote rack.
+   */
+  private static final double MAX_DOUBLINGS = 6;
+
   /** Run times multiply when a task is in another rack than its data or its gang. */
   private static final double REMOTE_RACK_COST = 4;
 
@@ -101,6 +114,38 @@
     return descriptor.memoryMb() - usedMemoryMb;
   }
 
+  /** Returns the number of unreserved accelerators. */
+  public int freeAccelerators() {
+    return descriptor.accelerators() - usedAccelerators;
+  }
+
+  /** Returns whether no run has reserved CPU capacity. */
+  public boolean isCpuUnreserved() {
+    return usedCpuMillis == 0;
+  }
+
+  /**
+   * Returns the largest share of the worker's CPU capacity, memory and accelerators that a task
+   * takes; above 1 if it does not fit even an empty worker.
+   */
+  public double dominantShare(StepSpec spec) {
+    return Math.max(
+        share(spec.reservedCpuMillis(), descriptor.cpuMillis()),
+        Math.max(
+            share(spec.memoryMb(), descriptor.memoryMb()),
+            share(spec.accelerators(), descriptor.accelerators())));
+  }
+
+  private static double share(int requested, int capacity) {
+    return requested == 0 ? 0 : capacity <= 0 ? Double.MAX_VALUE : (double) requested / capacity;
+  }
+
+  /** Returns whether a task would fit if nothing ran on the worker. */
+  public boolean fitsEmpty(StepSpec spec) {
+    String label = spec.requiredLabel();
+    return dominantShare(spec) <= 1 && (label == null || descriptor.labels().contains(label));
+  }
+
   /** Returns whether more is reserved than the worker holds, since its capacity has shrunk. */
   public boolean isOverCommitted() {
     return freeCpuMillis() < 0
@@ -184,6 +229,11 @@
     StepSpec spec = task.spec();
     double cost = (double) freeCpuMillis() / Math.max(1, descriptor.cpuMillis());
     cost += SLOWDOWN_COST * slowdown;
+    if (!spec.sameRack()) {
+      // The rack of the first member decides where the others go; a small worker says nothing about
+      // the room in its rack.
+      cost += SIZE_COST_PER_DOUBLING * doublingsAbove(spec);
+    }
     if (spec.dataRack() != null && !spec.dataRack().equals(descriptor.rack())) {
       cost += REMOTE_RACK_COST;
     }
@@ -202,4 +252,10 @@
     }
     return cost;
   }
+
+  /** Returns how often the worker's size would have to be halved to be just as large as a task. */
+  private double doublingsAbove(StepSpec spec) {
+    double share = dominantShare(spec);
+    return share <= 0 ? MAX_DOUBLINGS : Math.min(MAX_DOUBLINGS, -Math.log(share) / Math.log(2));
+  }
 }
