--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
@@ -19,6 +19,7 @@
 import org.hickorymoor.domain.workload.QueuePolicy;
 import org.hickorymoor.domain.workload.StepSpec;
 import org.hickorymoor.domain.workload.Submission;
+import org.hickorymoor.domain.workload.UrgentHeadroom;
 import org.hickorymoor.domain.workload.WorkerAllocation;
 import org.hickorymoor.domain.workload.WorkerDescriptor;
 import org.hickorymoor.domain.workload.WorkloadSpec;
@@ -54,6 +55,9 @@
   /** Bounds the memory for the times of log lines. */
   private static final int MAX_LOGGED_CUSTOMERS = 1_000;
 
+  private static final int TOP_PRIORITY = 0;
+  private static final int LOWER_PRIORITY = 1;
+
   private static final double MILLIS_PER_CORE = 1_000;
 
   private static final long NS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -236,7 +240,7 @@
         backlog.totalCoreMs(service, precedence),
         weight / Math.max(weight, view.weightSum()),
         view.capacityCores(),
-        priority == 0 ? view.urgentRoomFree() : view.roomFree(),
+        priority == TOP_PRIORITY ? view.urgentRoomFree() : view.roomFree(),
         backlog.queuedJobs(customer),
         backlog.submissionBytes(customer));
   }
@@ -257,10 +261,8 @@
     for (WorkerAllocation worker : workers) {
       cpuMillis += worker.descriptor().cpuMillis();
       if (demand != null) {
-        long keepFree =
-            Math.round(worker.descriptor().cpuMillis() * StepPlacer.URGENT_HEADROOM_SHARE);
-        roomFree |= fits(demand, worker, keepFree);
-        urgentRoomFree |= fits(demand, worker, 0);
+        roomFree |= fits(demand, worker, UrgentHeadroom.headroom(LOWER_PRIORITY, worker));
+        urgentRoomFree |= fits(demand, worker, UrgentHeadroom.headroom(TOP_PRIORITY, worker));
       }
     }
     double weightSum =
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -160,7 +160,6 @@
             () -> sessions.values().stream().map(session -> session.allocation().descriptor()),
             metrics);
     this.taskListeners.add(customers);
-    this.placer = new StepPlacer(sessions, approvals, customers, this::place);
     this.submissionReaders =
         KeyedStream.submissionPartitions().stream()
             .map(partition -> new SubmissionReader(loop, log, partition, this::onSubmissionRecord))
@@ -180,6 +179,13 @@
     this.urgency =
         (submission, step) ->
             Urgency.of(submission, step, loop.nowMs(), runTimes, customers.shareRank(submission));
+    this.placer =
+        new StepPlacer(
+            sessions,
+            approvals,
+            customers,
+            this::place,
+            new WideTaskReservations(loop, jobs::get, runTimes));
     this.hostStarts = hostStarts;
     this.leaseBounds = new LeaseBounds(loop, ledger, heartbeats, epoch);
     this.backlog = new AdmissionBacklog(runTimes, loop::nowMs);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Placement.java
@@ -19,8 +19,6 @@
     OptionalLong remainingMs(Placement placement, long elapsedMs);
   }
 
-  static final int FULL_SPEED_PERCENT = 100;
-
   /** Usual time between two reports of a worker, while the ends in the first one are stored. */
   private static final long USUAL_REPORT_GAP_MS = 100;
 
@@ -57,19 +55,20 @@
   boolean endNoticedLate;
 
   /** Whether an earlier coordinator sent the start request, so that its time is unknown. */
-  boolean adopted;
+  final boolean adopted;
 
-  int desiredPercent = FULL_SPEED_PERCENT;
-  int requestedPercent = FULL_SPEED_PERCENT;
+  final BestEffortThrottle.RunSpeed speed;
 
   /** Whether the start request can't have reached an incarnation that no report has come from. */
   boolean incarnationKnown;
 
-  Placement(TaskProgress task, int run, WorkerAllocation allocation) {
+  Placement(TaskProgress task, int run, WorkerAllocation allocation, boolean adopted) {
     this.task = task;
     this.run = run;
     this.allocation = allocation;
     this.resumed = !task.checkpoint().isEmpty();
+    this.adopted = adopted;
+    this.speed = new BestEffortThrottle.RunSpeed(adopted);
   }
 
   TaskProgress task() {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/LearnedRunTimesTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/LearnedRunTimesTest.java
@@ -85,9 +85,13 @@
   }
 
   private Placement placed(ScheduledJob job, int index) {
+    return placed(job, index, false);
+  }
+
+  private Placement placed(ScheduledJob job, int index, boolean adopted) {
     TaskProgress task = job.progress.steps(0).get(0).tasks().get(index);
     task.place("w", 1);
-    return new Placement(task, 1, worker);
+    return new Placement(task, 1, worker, adopted);
   }
 
   private void started(ScheduledJob job, Placement placement) {
@@ -154,8 +158,8 @@
     finish(resumed, ACTUAL_MS);
 
     ScheduledJob adopted = job(plainStep());
-    Placement adoptedRun = startedRun(adopted);
-    adoptedRun.adopted = true;
+    Placement adoptedRun = placed(adopted, 0, true);
+    started(adopted, adoptedRun);
     observer.onRunEnded(adopted, adoptedRun, TerminationReason.DONE);
 
     ScheduledJob late = job(plainStep());
