Make no reservation where something else than room keeps a task away

A task that its limit per worker or a suspected crash keeps away has room already, or a hold of its own.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WideTaskReservations.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WideTaskReservations.java
@@ -164,7 +164,10 @@
             .map(run -> new RoomForecast.Run(run.task().spec(), remainingMs(run)))
             .toList();
     int keepFree = UrgentHeadroom.keepFreeOnceFree(step.priority(), step.task.spec(), allocation);
-    return RoomForecast.msUntilFits(allocation, step.task.spec(), keepFree, runs);
+    long untilMs = RoomForecast.msUntilFits(allocation, step.task.spec(), keepFree, runs);
+    // Where there is room already, something else keeps the task away, such as its limit per
+    // worker.
+    return untilMs == 0 && !allocation.fits(step.task, keepFree) ? RoomForecast.NEVER_MS : untilMs;
   }
 
   private long remainingMs(Placement run) {
@@ -181,8 +184,8 @@
 
   /** Notes that a task of a step fitted no worker in this pass. */
   void onUnplaced(ReadyStep next, TaskProgress task, List<WorkerSession> eligible) {
-    if (next.step().spec().gang()) {
-      // One worker doesn't let a gang start.
+    if (next.step().spec().gang() || task.suspectedCrashes() > 0) {
+      // One worker doesn't let a gang start, and suspected tasks have holds of their own.
       return;
     }
     Waiting step =
