Count a call as not sent only if it waited for a connection

Cause: AdaptersTest (two tests of malformed addresses) failed since any call that had not begun was NOT_SENT; they expect UNREACHABLE or NO_RESPONSE, which is right: an address that can't be used is no matter of waiting. Now only a time-out, a connect time-out or a full queue before the call began counts. Unit tests of platform and AsyncHttpClientTest pass.

--- a/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
@@ -5,9 +5,12 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.EOFException;
 import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -202,12 +205,21 @@
     }
   }
 
+  /** Returns whether a call was given up while it waited for a connection, or at once. */
+  private static boolean isWaitOver(@Nullable Throwable cause) {
+    return cause instanceof TimeoutException
+        || cause instanceof SocketTimeoutException
+        || cause instanceof RejectedExecutionException;
+  }
+
   private static PlatformException failure(String url, @Nullable Throwable cause, boolean begun) {
-    Type type = begun ? Type.NO_RESPONSE : Type.NOT_SENT;
+    Type type = Type.NO_RESPONSE;
     if (cause instanceof ConnectException) {
       type = Type.UNREACHABLE;
     } else if (cause instanceof EOFException) {
       type = Type.CONNECTION_CLOSED;
+    } else if (!begun && isWaitOver(cause)) {
+      type = Type.NOT_SENT;
     }
     return new PlatformException(type, "no response from " + url + ": " + cause);
   }
