Start a gang only if all its members can start

The condition is now checked for all members, and an approval is still used for 100 ms after the time from which no new placement rests on it.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalCache.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/ApprovalCache.java
@@ -33,6 +33,12 @@
    */
   private static final long TICKET_EXPIRY_MARGIN_MS = 300;
 
+  /**
+   * Time after that in which a start is still sent with the approval, since storing the placement
+   * takes time; what remains covers the way to the worker.
+   */
+  private static final long SEND_GRACE_MS = 100;
+
   /** The approvals of a step and the workers requested so far. */
   private static final class StepApprovals {
     private final Map<String, CachedTicket> tickets = new HashMap<>();
@@ -59,13 +65,16 @@
   }
 
   /**
-   * Returns the ticket that proves the approval of a worker for a step, or null if there is no
-   * valid one.
+   * Returns the ticket with which a placed task of a step can be started on a worker, or null if
+   * there is none that is valid for long enough.
    */
-  @Nullable String ticket(String step, String workerId) {
+  @Nullable String ticketToSend(String step, String workerId) {
     StepApprovals approvals = steps.get(step);
     CachedTicket ticket = approvals == null ? null : approvals.tickets.get(workerId);
-    return ticket == null || loop.nowNs() - ticket.endsNs() >= 0 ? null : ticket.value();
+    return ticket == null
+            || loop.nowNs() - ticket.endsNs() >= TimeUnit.MILLISECONDS.toNanos(SEND_GRACE_MS)
+        ? null
+        : ticket.value();
   }
 
   /** Returns the workers that may run a step according to a valid ticket. */
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -100,6 +100,7 @@
   private final ApprovalCache approvals;
   private final CustomerAccounting customers;
   private final StepPlacer placer;
+  private final RunStarter starter;
   private final StepUrgency urgency;
   private final List<TaskListener> taskListeners = new ArrayList<>();
   private final LearnedRunTimes runTimes;
@@ -179,6 +180,7 @@
     this.urgency =
         (submission, step) ->
             Urgency.of(submission, step, loop.nowMs(), runTimes, customers.shareRank(submission));
+    this.starter = new RunStarter(sessions, approvals, metrics, () -> closed, this::onWithdrawn);
     this.placer =
         new StepPlacer(
             sessions,
@@ -966,35 +968,12 @@
     notifyPlaced(job, task);
     Placement placement = session.add(task);
     markDirty(job);
-    ledger.runAfterStored(() -> sendStart(job, session, placement));
+    ledger.runAfterStored(() -> starter.start(job, session, placement));
   }
 
-  private void sendStart(ScheduledJob job, WorkerSession session, Placement placement) {
-    if (!session.hasReservation(placement)) {
-      return;
-    }
-    if (!job.accepted && !closed) {
-      job.deferredStarts.add(() -> sendStart(job, session, placement));
-      return;
-    }
-    String ticket =
-        approvals.ticket(placement.task().id().stepName(), session.allocation().descriptor().id());
-    boolean isApproved = job.submission().policy().approval() == null || ticket != null;
-    // While the placement was being stored, the approval may have expired, and the worker's
-    // capacity may have shrunk.
-    if (closed
-        || !isApproved
-        || placement.isStopping()
-        || job.progress.state().isFinal()
-        || session.allocation().isOverCommitted()) {
-      session.withdraw(placement);
-      if (!closed) {
-        endRun(job, placement, TerminationReason.STOPPED, "");
-      }
-      return;
+  private void onWithdrawn(ScheduledJob job, Placement placement) {
+    if (!closed) {
+      endRun(job, placement, TerminationReason.STOPPED, "");
     }
-    String payload = job.progress.submission().spec().payload();
-    metrics.startSent();
-    session.start(placement, payload, ticket);
   }
 }
