Ask a peer that answered before when the store is unavailable

Both peers of a round were chosen from all registered hosts. The registry keeps hosts that died without leaving, so with many of them no reply came within config_apply_ms again and again, and in an outage of the whole store hosts became isolated and not ready although live peers answered.

One of the two peers is now chosen among those that answered their latest call, if there are any; the other one stays random.

Test: four hosts, 36 dead ones registered, 60 s of an outage after its first 12 s, read every 100 ms.

--- a/daemon/src/main/java/org/hickorymoor/daemon/cellconfig/PeerConfigSync.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/cellconfig/PeerConfigSync.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -42,6 +43,10 @@
   private final Supplier<List<String>> hosts;
   private final LongSupplier knownOffset;
   private final Listener listener;
+
+  /** Candidates whose latest call was answered. */
+  private final Set<String> answering = new HashSet<>();
+
   private boolean senderAsked;
 
   /**
@@ -70,7 +75,10 @@
   }
 
   /**
-   * Asks two random hosts.
+   * Asks two random hosts, one of them among those that answered their latest call.
+   *
+   * <p>The registry keeps the addresses of hosts that died. Choosing both from all of them would
+   * leave a host without an answer, and so not ready, for seconds at a time.
    *
    * @param withSeeds whether to choose among the seeds as well, as the known hosts may be gone
    */
@@ -83,6 +91,11 @@
     }
     List<String> shuffled = new ArrayList<>(candidates);
     Collections.shuffle(shuffled, loop.random());
+    answering.retainAll(candidates);
+    shuffled.stream()
+        .filter(answering::contains)
+        .findFirst()
+        .ifPresent(address -> Collections.swap(shuffled, 0, shuffled.indexOf(address)));
     for (String address : shuffled.subList(0, Math.min(PEERS_PER_ROUND, shuffled.size()))) {
       ask(address, () -> {});
     }
@@ -109,8 +122,10 @@
                         () -> {
                           onCompleted.run();
                           if (reply instanceof CellConfigReply answer) {
+                            answering.add(address);
                             listener.onReply(answer, sentAt);
                           } else {
+                            answering.remove(address);
                             logger.atFine().log(
                                 "config: No configuration from %s: %s.",
                                 address, failure == null ? reply : failure);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/ConfigFollowerTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/ConfigFollowerTest.java
@@ -233,4 +233,26 @@
     publish("4");
     assertThat(time.advanceUntil(PEER_APPLY_MS, () -> allHave(4))).isTrue();
   }
+
+  // Guards against readiness that flaps in an outage of the store because most of the registered
+  // hosts died long ago.
+  @Test
+  void hostsStayReadyInAnOutageOfTheStoreThoughMostRegisteredOnesAreGone() {
+    startHosts(4);
+    for (int i = 0; i < 36; i++) {
+      registered.add("gone" + i);
+    }
+    publish("1");
+    time.advance(500);
+    store.setUnresponsive(true);
+    time.advance(3 * APPLY_MS);
+
+    int isolated = 0;
+    for (int i = 0; i < 600; i++) {
+      time.advance(100);
+      isolated += (int) hosts.values().stream().filter(h -> h.follower().isIsolated()).count();
+    }
+
+    assertThat(isolated).isEqualTo(0);
+  }
 }
