Drop the expiries of ended jobs in the admission backlog

Each open job adds the time at which it becomes too late, and this stayed until it was due. With objectives of hours the queue held all jobs of that time, ended or not.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionBacklog.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionBacklog.java
@@ -110,6 +110,9 @@
 
   private static final int TIME_CLASSES = 64;
 
+  /** Number of expiries from which on those of removed jobs are dropped. */
+  static final int CLEANUP_SIZE = 1_000;
+
   private final RunTimes runTimes;
   private final LongSupplier nowMs;
   private final Map<String, Account> accounts = new HashMap<>();
@@ -210,6 +213,22 @@
           account.waitingCoreMs = 0;
           account.placedCoreMs = 0;
         });
+    dropExpiriesOfRemovedJobs();
+  }
+
+  /**
+   * Drops expiries that no longer matter, which may be due only hours after their jobs have ended.
+   * At least every second one is dropped, so that the cost of a removal stays constant on average.
+   */
+  private void dropExpiriesOfRemovedJobs() {
+    if (expiries.size() >= CLEANUP_SIZE && expiries.size() > 2 * accounts.size()) {
+      expiries.removeIf(expiry -> !accounts.containsKey(expiry.jobId()));
+    }
+  }
+
+  /** Returns the number of times at which jobs are checked for being too late. */
+  int expiryCount() {
+    return expiries.size();
   }
 
   @Override
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/AdmissionControlTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/AdmissionControlTest.java
@@ -115,4 +115,22 @@
     assertThat(pool.control.isUnderPressure("odd0")).isFalse();
     assertThat(admits("new")).isTrue();
   }
+
+  // Guards against memory for jobs that ended long before their deadlines.
+  @Test
+  void endedJobsLeaveNoExpiries() {
+    pool.limits.put("customer", 0);
+    for (int i = 0; i < 10 * AdmissionBacklog.CLEANUP_SIZE; i++) {
+      pool.add(job("job" + i));
+      if (i > 0) {
+        pool.backlog.remove("job" + i);
+      }
+    }
+    assertThat(pool.backlog.expiryCount()).isAtMost(AdmissionBacklog.CLEANUP_SIZE);
+
+    pool.time.advance(10_000);
+    assertThat(pool.backlog.customerCoreMs("pool", "customer", Long.MAX_VALUE)).isEqualTo(2_000);
+    pool.time.advance(30_000);
+    assertThat(pool.backlog.customerCoreMs("pool", "customer", Long.MAX_VALUE)).isEqualTo(0);
+  }
 }
