--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/AdmissionControlTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/AdmissionControlTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.hickorymoor.daemon.peer.PeerRequest.AdmitSubmission;
+import org.hickorymoor.domain.workload.JobProgress;
 import org.hickorymoor.domain.workload.StepSpec;
 import org.hickorymoor.domain.workload.Submission;
 import org.junit.jupiter.api.Test;
@@ -119,9 +120,10 @@
   // Guards against memory for jobs that ended long before their deadlines.
   @Test
   void endedJobsLeaveNoExpiries() {
-    pool.limits.put("customer", 0);
     for (int i = 0; i < 10 * AdmissionBacklog.CLEANUP_SIZE; i++) {
-      pool.add(job("job" + i));
+      JobProgress progress = new JobProgress(job("job" + i));
+      progress.startDueOccurrences(pool.loop.nowMs());
+      pool.backlog.add(progress, 1_000);
       if (i > 0) {
         pool.backlog.remove("job" + i);
       }
