Drop the cached run times of a job when it is closed

Expected run times are cached by job ID, and the entry outlived the job. A job that was announced and never stored is removed after 5 s; if its ID came back with more steps, the look-up of a step failed with ArrayIndexOutOfBoundsException while the job was added, or in the placement pass, outside the isolation of single steps. The job was never placed.

RunObserver drops the entry when the job is closed.

BusyStoreTest.refusedJobRunsWhenItComesBackWithMoreSteps fails without the change, and passes with it, as do LearnedRunTimesTest and the rest of BusyStoreTest.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LearnedRunTimes.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LearnedRunTimes.java
@@ -189,6 +189,14 @@
     onLearned(submission);
   }
 
+  /**
+   * Drops the cached times of a job that is no longer open: if it was never stored, its ID may come
+   * back with other steps.
+   */
+  void jobClosed(String jobId) {
+    cachedMs.remove(jobId);
+  }
+
   private void onLearned(Submission submission) {
     cachedMs.remove(submission.jobId());
     if (loop.nowNs() - storedNs >= STORE_INTERVAL_NS) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RunObserver.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RunObserver.java
@@ -78,6 +78,11 @@
     }
   }
 
+  @Override
+  public void onJobClosed(ScheduledJob job) {
+    runTimes.jobClosed(job.id());
+  }
+
   @Override
   public void onTaskReleased(ScheduledJob job, TaskProgress task) {
     if (task.spec().gang()) {
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/BusyStoreTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/BusyStoreTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import org.hickorymoor.daemon.shard.Shard.StoreResult;
+import org.hickorymoor.domain.workload.WorkloadState;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -56,6 +58,24 @@
     assertThat(storedOf(cell, StoreResult.NO)).isEmpty();
   }
 
+  /**
+   * Guards against run times that are kept for the ID of a job that was never stored: the steps of
+   * the job that comes back under it would be looked up among those of the first one.
+   */
+  @Test
+  void refusedJobRunsWhenItComesBackWithMoreSteps() {
+    SimulatedCell cell = cell(4);
+    cell.store.setBusy(true);
+    CompletableFuture<StoreResult> refused = cell.submit("h0", "job", step(1, List.of(), false));
+    cell.time.advanceUntil(3_000, refused::isDone);
+    assertThat(refused.join()).isEqualTo(StoreResult.NO);
+    cell.store.setBusy(false);
+    cell.time.advance(8_000);
+
+    cell.submit("h0", "job", step(1, List.of(), false), step(1, List.of(0), false));
+    assertThat(cell.awaitState("h1", "job", WorkloadState.COMPLETED, 10_000)).isTrue();
+  }
+
   private static SimulatedCell cell(long answerMs) {
     SimulatedCell cell = new SimulatedCell(7, HOSTS, 60);
     cell.awaitCoordinator();
