Bound the forecasts for wide tasks in one placement pass

Where no worker gets room within 5 s, no reservation is made, and each pass forecast the room on every eligible worker for every step that had waited 2 s. With a backlog of wide tasks among long runs this holds up the event loop, also without customers.

A pass looks for a worker for at most 16 steps, and a step that gets none pauses for 1 s, so that others have their turn.

WideTaskReservationsTest: with 200 waiting steps and one worker with 8 runs, a pass asked for 1,608 run times before, and at most 160 now; the last of the steps, whose worker frees soon, still gets its reservation. UnevenLoadTest passes.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WideTaskReservations.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WideTaskReservations.java
@@ -34,9 +34,15 @@
   /** Limit of the room that is kept unused, also if the expected run times are wrong. */
   private static final long MAX_RESERVATION_MS = 5_000;
 
-  /** Time between two reservations for one step, during which others have their turn. */
+  /** Time between two attempts to reserve for one step, during which others have their turn. */
   private static final long PAUSE_MS = 1_000;
 
+  /**
+   * Steps for which a pass looks for a worker. Each costs a forecast of every eligible worker;
+   * without a bound, thousands of waiting steps would hold up the event loop.
+   */
+  private static final int MAX_CANDIDATES = 16;
+
   /** Covers the longest pause between two passes; a step that was in none of them is forgotten. */
   private static final long FORGOTTEN_AFTER_MS = 2_000;
 
@@ -100,11 +106,16 @@
     waiting.values().removeIf(step -> hasElapsed(step.seenNs, FORGOTTEN_AFTER_MS));
     byService.values().removeIf(this::hasEnded);
     waiting.values().stream()
-        .filter(step -> hasElapsed(step.sinceNs, MIN_WAIT_MS) && nowNs - step.pausedUntilNs >= 0)
+        .filter(
+            step ->
+                hasElapsed(step.sinceNs, MIN_WAIT_MS)
+                    && nowNs - step.pausedUntilNs >= 0
+                    && !byService.containsKey(step.service()))
         .sorted(
             Comparator.comparing(
                     (Waiting step) -> step.next.urgency().timeliness() == Timeliness.TOO_LATE)
                 .thenComparingLong(step -> step.sinceNs))
+        .limit(MAX_CANDIDATES)
         .forEach(this::reserve);
   }
 
@@ -119,11 +130,15 @@
             || waiting.get(holder.next.step()) != holder
             || !reservation.worker().isSchedulable();
     if (ended) {
-      holder.pausedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
+      pause(holder);
     }
     return ended;
   }
 
+  private void pause(Waiting step) {
+    step.pausedUntilNs = loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
+  }
+
   private void reserve(Waiting step) {
     if (byService.containsKey(step.service())) {
       return;
@@ -138,7 +153,9 @@
       }
     }
     if (best == null || bestMs > MAX_RESERVATION_MS) {
-      // Room kept free for longer than the reservation lasts would serve nobody.
+      // Room kept free for longer than the reservation lasts would serve nobody. The pause gives
+      // other steps their turn as candidates.
+      pause(step);
       return;
     }
     byService.put(
