Forecast room for nearly whole workers by the end of all runs

A task of a lower queue that needs more than 94 % of a worker fits only one without other reservations of processors. The forecast let it fit beside small runs, so a worker with one small long run showed as free at once, was reserved again and again, and never took the task, while workers that would be empty within 5 s were passed over.

The CPU capacity to keep free is now what such a task leaves of the worker, so that the forecast is the end of the last run.

WorkerSizeTest.forecastOfNearlyWholeWorkerIsTheEndOfItsLastRun gave 0 ms instead of 700 ms before; it passes now, as do the other tests of WorkerSizeTest and UnevenLoadTest.

--- a/domain/src/main/java/org/hickorymoor/domain/workload/UrgentHeadroom.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/UrgentHeadroom.java
@@ -33,7 +33,10 @@
    */
   public static int keepFreeOnceFree(int priority, StepSpec spec, WorkerAllocation worker) {
     int headroom = headroom(priority, worker);
-    return spec.reservedCpuMillis() > worker.descriptor().cpuMillis() - headroom ? 0 : headroom;
+    // A task that leaves less than the headroom fits only a worker without other reservations, so
+    // that all else must be free.
+    return Math.max(
+        0, Math.min(headroom, worker.descriptor().cpuMillis() - spec.reservedCpuMillis()));
   }
 
   /** Returns what tasks of a priority usually leave free, in thousandths of a core. */
--- a/domain/src/test/java/org/hickorymoor/domain/workload/WorkerSizeTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/WorkerSizeTest.java
@@ -154,6 +154,25 @@
     assertThat(untilFits(worker, 13_000, 0, runs)).isEqualTo(RoomForecast.NEVER_MS);
   }
 
+  /**
+   * Guards against a reservation of a worker on which a small run keeps a task of its size away.
+   */
+  @Test
+  void forecastOfNearlyWholeWorkerIsTheEndOfItsLastRun() {
+    WorkerAllocation worker = worker("w", "r1", 16);
+    TaskProgress small = task("small", 400, null, false);
+    worker.reserve(small.id(), 1, small.spec());
+    TaskProgress whole = task("whole", 15_500, null, false);
+    int keepFree = UrgentHeadroom.keepFreeOnceFree(POLICY.priority(), whole.spec(), worker);
+
+    assertThat(
+            untilFits(worker, 15_500, keepFree, List.of(new RoomForecast.Run(small.spec(), 700))))
+        .isEqualTo(700);
+    TaskProgress tooLarge = task("tooLarge", 16_500, null, false);
+    worker.release(small.id(), 1);
+    assertThat(best(List.of(worker), tooLarge)).isNull();
+  }
+
   private static long untilFits(
       WorkerAllocation worker, int cpuMillis, int keepFree, List<RoomForecast.Run> runs) {
     return RoomForecast.msUntilFits(
