Add a preview of where a job would be placed to the coordinator

Cause: operators can't tell where a job would go, or what holds it back, without submitting it.

Change: PreviewPlacement and PlacementReply (tags 28) carry a job to the coordinator and a report back. PlacementPreview answers from the coordinator's memory: refusals, the customer's limit, use and rank, run times, the steps that go before it and the workers that fit. It uses the code of the placement pass and of admission control in forms that count, log and keep nothing. The parts of WorkerAllocation.cost are methods that cost() adds in the same order as before; only the preview builds a map of them. DominantShares.isAboveShare creates no account for a customer without one.

The duration of a placement pass was not measured.

--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerReply.java
@@ -160,4 +160,11 @@
    * @param reason why the job is refused; empty if it is admitted
    */
   record AdmissionReply(boolean admitted, long retryAfterMs, String reason) implements PeerReply {}
+
+  /**
+   * Reply to {@link PeerRequest.PreviewPlacement}.
+   *
+   * @param report where the job would be placed
+   */
+  record PlacementReply(PlacementReport report) implements PeerReply {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/PeerRequest.java
@@ -211,4 +211,15 @@
       long usefulWithinMs,
       int bytes)
       implements PeerRequest {}
+
+  /**
+   * Asks the coordinator where a job would be placed now; nothing is placed, stored or counted. The
+   * reply is {@link PeerReply.PlacementReply}.
+   *
+   * @param submission the job, encoded as for the store; its customer is null if the sender does
+   *     not know it
+   * @param customer name of the customer that was asked about, or null for none
+   */
+  record PreviewPlacement(ByteBuffer submission, @Nullable String customer)
+      implements PeerRequest {}
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/Purpose.java
@@ -25,6 +25,7 @@
   ASK_APPROVAL("ask-approval", PeerRequest.AskApproval.class),
   GET_CELL_CONFIG("get-cell-config", PeerRequest.GetCellConfig.class),
   ADMIT_SUBMISSION("admit-submission", PeerRequest.AdmitSubmission.class),
+  PREVIEW_PLACEMENT("preview-placement", PeerRequest.PreviewPlacement.class),
 
   /** Hello, heartbeat and go-away frames. */
   UPKEEP("upkeep", null),
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/ReplyCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/ReplyCodec.java
@@ -11,6 +11,7 @@
 import org.hickorymoor.daemon.peer.PeerReply.IntentsReply;
 import org.hickorymoor.daemon.peer.PeerReply.JobListReply;
 import org.hickorymoor.daemon.peer.PeerReply.JobReply;
+import org.hickorymoor.daemon.peer.PeerReply.PlacementReply;
 import org.hickorymoor.daemon.peer.PeerReply.QueueDepthReply;
 import org.hickorymoor.daemon.peer.PeerReply.Refused;
 import org.hickorymoor.daemon.peer.PeerReply.StatusReply;
@@ -99,7 +100,13 @@
               AnnouncementReply.class,
               (out, reply) -> out.packBoolean(reply.underPressure()),
               in -> new AnnouncementReply(in.unpackBoolean()))
-          .add(16, 3, AdmissionReply.class, ReplyCodec::writeAdmission, ReplyCodec::readAdmission);
+          .add(16, 3, AdmissionReply.class, ReplyCodec::writeAdmission, ReplyCodec::readAdmission)
+          .add(
+              28,
+              PlacementReportCodec.FIELDS,
+              PlacementReply.class,
+              (out, reply) -> PlacementReportCodec.write(out, reply.report()),
+              in -> new PlacementReply(PlacementReportCodec.read(in)));
 
   private ReplyCodec() {}
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/peer/RequestCodec.java
@@ -16,6 +16,7 @@
 import org.hickorymoor.daemon.peer.PeerRequest.GetWorkload;
 import org.hickorymoor.daemon.peer.PeerRequest.ListJobs;
 import org.hickorymoor.daemon.peer.PeerRequest.ListWorkers;
+import org.hickorymoor.daemon.peer.PeerRequest.PreviewPlacement;
 import org.hickorymoor.daemon.peer.PeerRequest.RelaySubmission;
 import org.hickorymoor.daemon.peer.PeerRequest.RequestTakeover;
 import org.hickorymoor.daemon.peer.PeerRequest.Status;
@@ -88,7 +89,13 @@
               GetCellConfig.class,
               RequestCodec::writeGetCellConfig,
               in -> new GetCellConfig(in.unpackLong(), in.unpackString()))
-          .add(19, 9, AdmitSubmission.class, RequestCodec::writeAdmit, RequestCodec::readAdmit);
+          .add(19, 9, AdmitSubmission.class, RequestCodec::writeAdmit, RequestCodec::readAdmit)
+          .add(
+              28,
+              2,
+              PreviewPlacement.class,
+              RequestCodec::writePreview,
+              in -> new PreviewPlacement(readBytes(in), FieldCodec.readNullableString(in)));
 
   private RequestCodec() {}
 
@@ -123,6 +130,11 @@
     out.packString(get.senderAddress());
   }
 
+  private static void writePreview(MessagePacker out, PreviewPlacement preview) throws IOException {
+    writeBytes(out, preview.submission());
+    FieldCodec.writeNullableString(out, preview.customer());
+  }
+
   private static void writeAdmit(MessagePacker out, AdmitSubmission admit) throws IOException {
     out.packString(admit.jobId());
     out.packString(admit.customer());
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
@@ -55,6 +55,9 @@
   /** Bounds the memory for the times of log lines. */
   private static final int MAX_LOGGED_CUSTOMERS = 1_000;
 
+  /** Middle of the range from which the jitter of the time to retry is drawn. */
+  private static final double MEAN_JITTER = 0.5;
+
   private static final int TOP_PRIORITY = 0;
   private static final int LOWER_PRIORITY = 1;
 
@@ -195,22 +198,35 @@
     if (!mayRefuse() || isKnown(request.jobId())) {
       return new AdmissionReply(true, 0, "");
     }
-    AdmissionPolicy.Job job =
-        new AdmissionPolicy.Job(
-            shareRank.applyAsInt(unacceptedJob(request)),
-            Math.max(0, request.coreMs()),
-            Math.max(0, request.criticalPathMs()),
-            request.usefulWithinMs(),
-            Math.max(0, request.bytes()));
-    Load load =
-        load(request.customer(), request.service(), request.priority(), request.usefulWithinMs());
+    AdmissionPolicy.Job job = job(request);
+    Load load = load(request);
     Decision decision = AdmissionPolicy.decide(job, load, loop.random().nextDouble());
     if (!decision.admitted()) {
       logRefusal(request, job, load, decision);
     }
+    return reply(decision);
+  }
+
+  /** Decides as {@link #decide} would, without a log line and with the mean time to retry. */
+  AdmissionReply preview(AdmitSubmission request) {
+    return mayRefuse()
+        ? reply(AdmissionPolicy.decide(job(request), load(request), MEAN_JITTER))
+        : new AdmissionReply(true, 0, "");
+  }
+
+  private static AdmissionReply reply(Decision decision) {
     return new AdmissionReply(decision.admitted(), decision.retryAfterMs(), decision.reason());
   }
 
+  private AdmissionPolicy.Job job(AdmitSubmission request) {
+    return new AdmissionPolicy.Job(
+        shareRank.applyAsInt(unacceptedJob(request)),
+        Math.max(0, request.coreMs()),
+        Math.max(0, request.criticalPathMs()),
+        request.usefulWithinMs(),
+        Math.max(0, request.bytes()));
+  }
+
   private Submission unacceptedJob(AdmitSubmission request) {
     return new Submission(
         request.jobId(),
@@ -231,6 +247,11 @@
     return policy == null ? 1 : policy.weight();
   }
 
+  private Load load(AdmitSubmission request) {
+    return load(
+        request.customer(), request.service(), request.priority(), request.usefulWithinMs());
+  }
+
   private Load load(String customer, String service, int priority, long usefulWithinMs) {
     long precedence = AdmissionBacklog.precedence(priority, usefulWithinMs);
     ServiceView view = view(service);
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionGate.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionGate.java
@@ -115,7 +115,7 @@
     loop.schedule(timeoutMs, () -> completeUnanswered(result));
     var unused =
         coordinator
-            .ask(question(submission, customer.name()), timeoutMs)
+            .ask(question(submission, customer.name(), loop.nowMs()), timeoutMs)
             .whenComplete((reply, failure) -> complete(result, customer.name(), reply));
     return result;
   }
@@ -140,7 +140,14 @@
     }
   }
 
-  private AdmitSubmission question(Submission submission, String customer) {
+  /**
+   * Returns the question whether a job is accepted.
+   *
+   * @param submission the job
+   * @param customer name of its customer
+   * @param nowMs Unix time
+   */
+  static AdmitSubmission question(Submission submission, String customer, long nowMs) {
     WorkloadSpec spec = submission.spec();
     QueuePolicy queue = submission.policy();
     long criticalPathMs = WorkEstimates.declaredCriticalPathMs(spec);
@@ -152,7 +159,7 @@
         queue.priority(),
         WorkEstimates.declaredCoreMs(spec),
         criticalPathMs,
-        WorkEstimates.usefulWithinMs(submission, criticalPathMs, loop.nowMs()),
+        WorkEstimates.usefulWithinMs(submission, criticalPathMs, nowMs),
         WorkloadCodec.encode(submission).length);
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.hickorymoor.daemon.peer.PlacementReport.Amounts;
+import org.hickorymoor.daemon.peer.PlacementReport.CustomerStanding;
 import org.hickorymoor.domain.customer.CustomerDirectory;
 import org.hickorymoor.domain.customer.CustomerPolicy;
 import org.hickorymoor.domain.customer.CustomerUsage;
@@ -45,6 +47,8 @@
   /** Interval at which metrics are published and customers without work are removed. */
   private static final long PUBLISH_INTERVAL_NS = TimeUnit.SECONDS.toNanos(1);
 
+  private static final double MILLIONTHS = 1e6;
+
   private final ShardEventLoop loop;
   private final Supplier<@Nullable CustomerDirectory> directory;
   private final Supplier<Stream<WorkerDescriptor>> workers;
@@ -179,6 +183,43 @@
         : WITHIN_SHARE;
   }
 
+  /** Returns the rank of the customer of an open job. Counts nothing. */
+  int currentRank(Submission submission) {
+    CustomerPolicy stored = submission.customer();
+    if (stored == null) {
+      return WITHIN_SHARE;
+    }
+    if (jobsBeyondRate.contains(submission.jobId())) {
+      return BEYOND_RATE;
+    }
+    String service = submission.policy().service();
+    return shares.isAboveShare(policies.of(stored), service, passBeganNs)
+        ? ABOVE_SHARE
+        : WITHIN_SHARE;
+  }
+
+  /** Returns how many tasks of a step the customer's limit permits now. Counts nothing. */
+  int startsWithinLimit(CustomerPolicy stored, StepSpec step) {
+    ResourceTotals demand = ResourceTotals.requestOf(step);
+    int permitted = usage.permittedStarts(policies.of(stored), demand, step.count());
+    return !policies.isConfigured() || (step.gang() && permitted < step.count()) ? 0 : permitted;
+  }
+
+  /** Returns limit, use and share of the customer of a job that is accepted now. */
+  CustomerStanding standing(CustomerPolicy stored, Submission submission) {
+    CustomerPolicy policy = policies.of(stored);
+    String service = submission.policy().service();
+    ResourceTotals used = usage.used(policy.name());
+    return new CustomerStanding(
+        policy.name(),
+        new Amounts(
+            policy.limit().cpuMillis(), policy.limit().memoryMb(), policy.limit().accelerators()),
+        new Amounts(used.cpuMillis(), used.memoryMb(), used.accelerators()),
+        Math.round(MILLIONTHS * shares.averageShare(policy.name(), service, passBeganNs)),
+        Math.round(MILLIONTHS * shares.entitledShare(policy, service)),
+        rankIfAccepted(submission));
+  }
+
   @Override
   public int permittedStarts(Submission submission, StepSpec step, int wanted) {
     CustomerPolicy stored = submission.customer();
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/JobScheduler.java
@@ -122,6 +122,7 @@
 
   private final AdmissionBacklog backlog;
   private final AdmissionControl admission;
+  private final PlacementPreview preview;
   private boolean ready;
   private boolean closed;
   private boolean placementScheduled;
@@ -193,6 +194,18 @@
         new AdmissionControl(
             loop, backlog, new AdmissionCell(), customerDirectory, customers::rankIfAccepted);
     this.taskListeners.add(backlog);
+    this.preview =
+        new PlacementPreview(
+            loop,
+            epoch,
+            new AdmissionCell(),
+            sessions.values(),
+            pendingJobs,
+            customers,
+            customerDirectory,
+            runTimes,
+            placer,
+            admission);
   }
 
   /** Fences earlier coordinators and loads progress, submissions and workers. */
@@ -841,6 +854,11 @@
     return admission;
   }
 
+  /** Returns the preview of where jobs would be placed. */
+  PlacementPreview preview() {
+    return preview;
+  }
+
   /** Shows the admission control the state of this scheduler. */
   private final class AdmissionCell implements AdmissionControl.Cell {
 
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/LearnedRunTimes.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/LearnedRunTimes.java
@@ -96,6 +96,13 @@
         .computeIfAbsent(submission.jobId(), unused -> predictSteps(submission))[stepIndex];
   }
 
+  /** Returns the expected run time of a step of a job that is not accepted. Keeps nothing. */
+  long previewMs(Submission submission, int stepIndex) {
+    return source == RunTimeSource.DECLARED
+        ? DECLARED.expectedMs(submission, stepIndex)
+        : medianMs(submission, stepIndex, RunLocation.TYPICAL);
+  }
+
   private void dropOutdated() {
     boolean outdated =
         model.revision() != cachedRevision && loop.nowNs() - cachedSinceNs >= MIN_CACHE_AGE_NS;
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/Shard.java
@@ -16,6 +16,7 @@
 import org.hickorymoor.daemon.peer.PeerHandler;
 import org.hickorymoor.daemon.peer.PeerReply;
 import org.hickorymoor.daemon.peer.PeerRequest;
+import org.hickorymoor.daemon.peer.PlacementReport;
 import org.hickorymoor.daemon.port.ApprovalPort;
 import org.hickorymoor.daemon.port.ApprovalPort.Approval;
 import org.hickorymoor.daemon.port.KeyedLogPort;
@@ -354,6 +355,27 @@
     return result;
   }
 
+  /**
+   * Queries where a job would be placed now; the job is not accepted.
+   *
+   * @param submission the job; without a customer if this host does not know it
+   * @param customer name of the customer that was asked about, or null for none
+   * @param withinMs how long the caller waits
+   * @return the report, or null if the coordinator did not answer in time; never fails
+   */
+  public CompletableFuture<@Nullable PlacementReport> previewPlacement(
+      Submission submission, @Nullable String customer, long withinMs) {
+    CompletableFuture<@Nullable PlacementReport> result = new CompletableFuture<>();
+    queryCoordinator(
+        new PeerRequest.PreviewPlacement(
+            ByteBuffer.wrap(WorkloadCodec.encode(submission)), customer),
+        loop.nowNs() + TimeUnit.MILLISECONDS.toNanos(withinMs),
+        reply ->
+            result.complete(
+                reply instanceof PeerReply.PlacementReply placement ? placement.report() : null));
+    return result;
+  }
+
   /** Calls the coordinator; a refused connection may end its term early. */
   private CompletableFuture<PeerReply> callCoordinator(
       CoordinatorRecord coordinator, PeerRequest request, long timeoutMs) {
@@ -429,6 +451,9 @@
     if (request instanceof PeerRequest.AdmitSubmission admit) {
       return activeScheduler.admission().decide(admit);
     }
+    if (request instanceof PeerRequest.PreviewPlacement placement) {
+      return activeScheduler.preview().answer(placement);
+    }
     if (request instanceof PeerRequest.GetQueueDepth depth) {
       return new PeerReply.QueueDepthReply(activeScheduler.queuedJobs(depth.queue()));
     }
@@ -440,7 +465,7 @@
     }
     return new PeerReply.Refused(
         PeerErrorType.BAD_REQUEST,
-        "expected a query for a job, a queue or an admission, got " + request);
+        "expected a query for a job, a queue, an admission or a placement, got " + request);
   }
 
   private PeerReply notCoordinator() {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
@@ -88,6 +88,11 @@
     }
   }
 
+  /** Returns whether a worker is kept free for another step, or starts no run beside others. */
+  boolean isHeldForOthers(ReadyStep next, WorkerSession session) {
+    return !session.isStartable(next.step().tasks().get(0)) || !reservations.permits(next, session);
+  }
+
   private List<WorkerSession> schedulableWorkers(String service) {
     return sessions.values().stream()
         .filter(
--- a/domain/src/main/java/org/hickorymoor/domain/customer/DominantShares.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/DominantShares.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.ToDoubleBiFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Compares the averaged dominant share of each customer with the share that its weight entitles it
@@ -104,13 +105,17 @@
           setCapacity(service, capacities.getOrDefault(name, ResourceTotals.NONE), nowNs);
           service.activeWeight = 0;
           for (Account account : service.accounts.values()) {
-            if (account.runs > 0 || account.readyInPass >= pass - 1) {
+            if (isActive(account, pass)) {
               service.activeWeight += account.weight;
             }
           }
         });
   }
 
+  private static boolean isActive(Account account, long pass) {
+    return account.runs > 0 || account.readyInPass >= pass - 1;
+  }
+
   private static void setCapacity(Service service, ResourceTotals capacity, long nowNs) {
     if (capacity.equals(service.capacity)) {
       return;
@@ -141,7 +146,11 @@
    * entitled to.
    */
   public boolean isAboveShare(CustomerPolicy customer, String service, long nowNs) {
-    Account account = account(customer, service, nowNs);
+    Account account = existingAccount(customer.name(), service);
+    if (account == null) {
+      return false;
+    }
+    account.weight = customer.weight();
     if (account.comparedInPass != pass) {
       account.comparedInPass = pass;
       double activeWeight = service(service).activeWeight;
@@ -151,6 +160,31 @@
     return account.above;
   }
 
+  private @Nullable Account existingAccount(String customer, String service) {
+    Service known = services.get(service);
+    return known == null ? null : known.accounts.get(customer);
+  }
+
+  /**
+   * Returns the share of a service that a customer is entitled to, or would be if it had work
+   * there.
+   */
+  public double entitledShare(CustomerPolicy customer, String service) {
+    Service known = services.get(service);
+    if (known == null) {
+      return 1;
+    }
+    Account account = known.accounts.get(customer.name());
+    boolean isActive = account != null && isActive(account, pass);
+    return customer.weight() / (known.activeWeight + (isActive ? 0 : customer.weight()));
+  }
+
+  /** Returns the averaged dominant share of a customer in a service; 0 without an account. */
+  public double averageShare(String customer, String service, long nowNs) {
+    Account account = existingAccount(customer, service);
+    return account == null ? 0 : account.share.average(nowNs);
+  }
+
   /** Returns the averaged dominant share of a customer, the largest over all services. */
   public double averageShare(String customer, long nowNs) {
     double largest = 0;
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.domain.workload;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -227,32 +228,78 @@
    */
   public double cost(TaskProgress task, @Nullable String gangRack) {
     StepSpec spec = task.spec();
-    double cost = (double) freeCpuMillis() / Math.max(1, descriptor.cpuMillis());
-    cost += SLOWDOWN_COST * slowdown;
-    if (!spec.sameRack()) {
-      // The rack of the first member decides where the others go; a small worker says nothing about
-      // the room in its rack.
-      cost += SIZE_COST_PER_DOUBLING * doublingsAbove(spec);
-    }
-    if (spec.dataRack() != null && !spec.dataRack().equals(descriptor.rack())) {
-      cost += REMOTE_RACK_COST;
-    }
-    if (gangRack != null && !gangRack.equals(descriptor.rack())) {
-      cost += REMOTE_RACK_COST;
-    }
-    if ((spec.bestEffort() && latencySensitiveRuns > 0)
-        || (spec.responseTimeTargetMs() > 0 && bestEffortRuns > 0)) {
-      cost += INTERFERENCE_COST;
-    }
-    if (task.hasFailedOn(descriptor.id())) {
-      cost += FAILED_COST;
-    }
-    if (task.suspectedCrashes() > 0) {
-      cost += CRASH_SUSPECT_COST_PER_RUN * runs();
-    }
+    double cost = freeCpuCost();
+    cost += slowdownCost();
+    cost += sizeCost(spec);
+    cost += dataRackCost(spec);
+    cost += gangRackCost(gangRack);
+    cost += interferenceCost(spec);
+    cost += failureCost(task);
+    cost += crashSuspectCost(task);
     return cost;
   }
 
+  /**
+   * Returns the parts of {@link #cost} by name, in the order in which they are added.
+   *
+   * @param task a task that fits
+   * @param gangRack rack of the other members of the task's gang, or null
+   */
+  public Map<String, Double> costParts(TaskProgress task, @Nullable String gangRack) {
+    StepSpec spec = task.spec();
+    Map<String, Double> parts = new LinkedHashMap<>();
+    parts.put("free-cpu", freeCpuCost());
+    parts.put("slowdown", slowdownCost());
+    parts.put("size", sizeCost(spec));
+    parts.put("data-rack", dataRackCost(spec));
+    parts.put("gang-rack", gangRackCost(gangRack));
+    parts.put("interference", interferenceCost(spec));
+    parts.put("failed-before", failureCost(task));
+    parts.put("crash-suspect", crashSuspectCost(task));
+    return parts;
+  }
+
+  private double freeCpuCost() {
+    return (double) freeCpuMillis() / Math.max(1, descriptor.cpuMillis());
+  }
+
+  private double slowdownCost() {
+    return SLOWDOWN_COST * slowdown;
+  }
+
+  /**
+   * Returns 0 for tasks that belong in one rack: the rack of the first member decides where the
+   * others go, and a small worker says nothing about the room in its rack.
+   */
+  private double sizeCost(StepSpec spec) {
+    return spec.sameRack() ? 0 : SIZE_COST_PER_DOUBLING * doublingsAbove(spec);
+  }
+
+  private double dataRackCost(StepSpec spec) {
+    return spec.dataRack() != null && !spec.dataRack().equals(descriptor.rack())
+        ? REMOTE_RACK_COST
+        : 0;
+  }
+
+  private double gangRackCost(@Nullable String gangRack) {
+    return gangRack != null && !gangRack.equals(descriptor.rack()) ? REMOTE_RACK_COST : 0;
+  }
+
+  private double interferenceCost(StepSpec spec) {
+    return (spec.bestEffort() && latencySensitiveRuns > 0)
+            || (spec.responseTimeTargetMs() > 0 && bestEffortRuns > 0)
+        ? INTERFERENCE_COST
+        : 0;
+  }
+
+  private double failureCost(TaskProgress task) {
+    return task.hasFailedOn(descriptor.id()) ? FAILED_COST : 0;
+  }
+
+  private double crashSuspectCost(TaskProgress task) {
+    return task.suspectedCrashes() > 0 ? CRASH_SUSPECT_COST_PER_RUN * runs() : 0;
+  }
+
   /** Returns how often the worker's size would have to be halved to be just as large as a task. */
   private double doublingsAbove(StepSpec spec) {
     double share = dominantShare(spec);
--- a/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
+++ b/domain/src/test/java/org/hickorymoor/domain/workload/WorkerAllocationTest.java
@@ -137,6 +137,23 @@
         .isLessThan(latencySensitive.cost(bestEffort, null));
   }
 
+  /** Guards against an explanation of a cost that differs from the cost that decides. */
+  @Test
+  void partsOfCostAddUpToCost() {
+    WorkerAllocation worker = worker("w", "r1-1");
+    TaskProgress service = task(700, null, null, 0, false, 50, 0);
+    worker.reserve(service.id(), 1, service.spec());
+    worker.recordSuccess(450, 300);
+    TaskProgress bestEffort = task(1_000, null, "r2-2", 0, true, 0, 1);
+    bestEffort.recordWorkerCrash(1, CrashEvidence.UNCERTAIN);
+
+    double sum = 0;
+    for (double part : worker.costParts(bestEffort, "r3-3").values()) {
+      sum += part;
+    }
+    assertThat(sum).isEqualTo(worker.cost(bestEffort, "r3-3"));
+  }
+
   @Test
   void workerIsUnhealthyAfterConsecutiveFailuresUntilRunSucceeds() {
     WorkerAllocation worker = worker("w", "r1-1");
