--- a/cli/src/main/java/org/hickorymoor/cli/Commands.java
+++ b/cli/src/main/java/org/hickorymoor/cli/Commands.java
@@ -38,6 +38,11 @@
               "Prints why a job is where it is, and what it waits for.",
               "hickorymoor explain kaduna-windsock/order-4711",
               ExplainCommand::new),
+          new CommandInfo(
+              "preview",
+              "Prints where a job would go now, and why, without submitting it.",
+              "hickorymoor preview job.json --queue batch --customer acme --server 10.0.0.1:7402",
+              PreviewCommand::new),
           new CommandInfo(
               "workers",
               "Lists the workers with what they declare, what was learned and what is in use.",
--- a/cli/src/main/java/org/hickorymoor/cli/JsonFields.java
+++ b/cli/src/main/java/org/hickorymoor/cli/JsonFields.java
@@ -26,6 +26,15 @@
     return text.isEmpty() ? ABSENT : text;
   }
 
+  /** Returns a number, or 0 if the field is absent or is none. */
+  static double number(JsonObject object, String name) {
+    try {
+      return Double.parseDouble(text(object, name));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
   /** Formats milliseconds since the epoch as an ISO-8601 time. */
   static String time(JsonObject object, String name) {
     try {
--- a/cli/src/main/java/org/hickorymoor/cli/client/Call.java
+++ b/cli/src/main/java/org/hickorymoor/cli/client/Call.java
@@ -12,6 +12,7 @@
  * @param waitMs maximum time for which the server may delay its response
  * @param isRetryable whether the call may be retried even if a former attempt may have had an
  *     effect
+ * @param isReadOnly whether the call never has an effect
  * @param evaluate determines the result of an attempt from the response
  */
 public record Call(
@@ -20,12 +21,36 @@
     @Nullable String body,
     long waitMs,
     boolean isRetryable,
+    boolean isReadOnly,
     Function<Reply, AttemptResult> evaluate) {
 
   private static final String GET = "GET";
   private static final int NOT_FOUND = 404;
   private static final int BAD_GATEWAY = 502;
 
+  /** Creates a call that may have an effect unless its method is GET. */
+  public Call(
+      String method,
+      String path,
+      @Nullable String body,
+      long waitMs,
+      boolean isRetryable,
+      Function<Reply, AttemptResult> evaluate) {
+    this(method, path, body, waitMs, isRetryable, method.equals(GET), evaluate);
+  }
+
+  /**
+   * Creates a read-only call with a body. Any response is final, so that an error is reported at
+   * once.
+   *
+   * @param path path and query
+   * @param body JSON body
+   * @return the call
+   */
+  public static Call question(String path, String body) {
+    return new Call("POST", path, body, 0, true, true, reply -> AttemptResult.FINAL);
+  }
+
   /**
    * Creates a read-only call.
    *
@@ -63,11 +88,6 @@
     return new Call(method, path, null, waitMs, true, Call::evaluateJobStatus);
   }
 
-  /** Returns whether the call never has an effect. */
-  boolean isReadOnly() {
-    return method.equals(GET);
-  }
-
   private static AttemptResult evaluateJobStatus(Reply reply) {
     return reply.status() == NOT_FOUND
         ? new AttemptResult(CallOutcome.NOT_KNOWN_TO_SERVER, 0)
