Sharpen the test that previews change nothing

Cause: three broken variants of PlacementPreview passed it, since no customer of its load was above its share and no answer was looked at: shareRank for the rank of open jobs or of the job itself, which mark and count, and run times cached by the ID that all questions share.

Change: a customer beyond its rate, questions about a customer without jobs, and every question must be answered. The check itself, equal traces with and without questions, is unchanged.

--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/PlacementPreviewTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/PlacementPreviewTest.java
@@ -28,9 +28,13 @@
   private static final CustomerPolicy ACME =
       new CustomerPolicy("acme", 1, new Resources(0, 0, 5_000, 0, 0));
 
+  private static final CustomerPolicy OTHER = new CustomerPolicy("other", 1, Resources.NONE);
+
+  private static final CustomerPolicy IDLE = new CustomerPolicy("idle", 100, Resources.NONE);
+
   private static SimulatedCell cell() {
     SimulatedCell cell = new SimulatedCell(17, 3, 4);
-    cell.customers = new CustomerDirectory(7, Map.of("acme", ACME));
+    cell.customers = new CustomerDirectory(7, Map.of("acme", ACME, "other", OTHER, "idle", IDLE));
     cell.workers.durations(() -> 3_000L);
     return cell;
   }
@@ -107,7 +111,9 @@
 
   /**
    * Guards against previews that take tokens, count as waiting or keep run times of their job.
-   * Load: a customer at its limit beside jobs without a customer that fill the workers.
+   *
+   * <p>Load: a customer at its limit and one beyond its rate and its share, beside jobs without a
+   * customer; some questions are about a customer without jobs.
    */
   @Test
   void previewsChangeNothing() {
@@ -117,18 +123,22 @@
   /** Returns the running tasks with their workers in each 50 ms, then the metrics. */
   private static List<String> trace(boolean withPreviews) {
     SimulatedCell cell = cell();
-    String coordinator = cell.awaitCoordinator();
+    final String coordinator = cell.awaitCoordinator();
+    List<CompletableFuture<@Nullable PlacementReport>> asked = new ArrayList<>();
     List<String> trace = new ArrayList<>();
     for (int round = 0; round < 200; round++) {
       if (round % 20 == 0) {
         cell.submit("h0", "acme" + round, ACME, step(4, List.of(), false));
-        cell.submit("h2", "free" + round, step(30, List.of(), false));
+        cell.submit("h0", "other" + round, OTHER, step(40, List.of(), false));
+        cell.submit("h0", "burst" + round, OTHER, step(2, List.of(), false));
+        cell.submit("h2", "free" + round, step(10, List.of(), false));
       }
       if (withPreviews) {
         for (int i = 0; i < 4; i++) {
-          // Steps of different numbers under one ID must not be mixed up either.
-          var unused = ask(cell, "acme", step(1, List.of(), false), step(2 + i, List.of(), false));
-          var unusedToo = ask(cell, null, step(60, List.of(), false));
+          // Questions share a job ID, so that run times kept by ID would be those of another job.
+          asked.add(ask(cell, "other", step(1, List.of(), false)));
+          asked.add(ask(cell, "idle", step(1, List.of(), false), step(2 + i, List.of(0), false)));
+          asked.add(ask(cell, null, step(60, List.of(), false)));
         }
       }
       cell.time.advance(50);
@@ -136,6 +146,9 @@
         trace.add(round + " " + task + " " + cell.workers.workerOf(task));
       }
     }
+    for (CompletableFuture<@Nullable PlacementReport> report : asked) {
+      assertThat(report.getNow(null)).isNotNull();
+    }
     trace.add(cell.workers.starts() + " starts, " + cell.store.submissions());
     MetricRegistry metrics = cell.registry(coordinator);
     metrics.getCounters().forEach((name, counter) -> trace.add(name + " " + counter.getCount()));
