--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/RelayedAppend.java
@@ -37,6 +37,12 @@
    */
   static final long RELAYED_TIMEOUT_MS = 1_400;
 
+  /**
+   * Least time for a relay. A peer in another region needs it to try the store and to answer; after
+   * a shorter one the outcome would be unknown for no other reason.
+   */
+  private static final long MIN_RELAY_MS = 300;
+
   /** Peers tried for an append before a request is refused. */
   private static final int MAX_RELAY_PEERS = 2;
 
@@ -177,7 +183,7 @@
     boolean certainlyNotStored =
         !uncertain
             && (peersTried >= MAX_RELAY_PEERS
-                || remainingMs() <= RETRY_DELAY_MS + slowestRefusalMs);
+                || remainingMs() <= RETRY_DELAY_MS + Math.max(MIN_RELAY_MS, slowestRefusalMs));
     if (remainingMs() > RETRY_DELAY_MS && !certainlyNotStored) {
       return false;
     }
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/SubmissionRefusalTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/SubmissionRefusalTest.java
@@ -61,13 +61,38 @@
   }
 
   private StoreResult store(PeerPort peers) {
+    return store(peers, 2_800);
+  }
+
+  private StoreResult store(PeerPort peers, long withinMs) {
     CompletableFuture<StoreResult> result =
         new RelayedAppend(loop, writer, peers, () -> List.of("peer"), null, "s:job", VALUE)
-            .start(2_800);
+            .start(withinMs);
     time.advanceUntil(4_000, result::isDone);
     return result.join();
   }
 
+  /**
+   * Guards against a 504 at the end of a caller's time, when a relay can't be answered any more,
+   * although every attempt so far was refused.
+   */
+  @Test
+  void noRelayBeginsThatCannotBeAnsweredInTime() {
+    store.setBusy(true);
+
+    assertThat(store((peer, request, timeoutMs) -> timeout(timeoutMs), 200))
+        .isEqualTo(StoreResult.NO);
+  }
+
+  private CompletableFuture<PeerReply> timeout(long timeoutMs) {
+    CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+    time.after(
+        timeoutMs,
+        () ->
+            reply.completeExceptionally(new PeerException(PeerException.Type.NO_RESPONSE, "peer")));
+    return reply;
+  }
+
   /** Guards against a 504 where the limit of calls to a peer kept the relay from being sent. */
   @ParameterizedTest
   @EnumSource(PeerException.Type.class)
