--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -112,15 +112,22 @@
     writeConfig(maxAttempts, false);
   }
 
-  /** Writes the first configuration of the operator: one queue, with or without approvals. */
+  /** Writes the first configuration of the operator: one urgent queue. */
   void writeConfig(int maxAttempts, boolean advice) {
+    writeConfig(0, maxAttempts, advice);
+  }
+
+  /** Writes the first configuration of the operator: one queue, with or without approvals. */
+  void writeConfig(int priority, int maxAttempts, boolean advice) {
     String config =
         "{\"version\":10,\"limits\":{},\"services\":[{\"name\":\"press-hub\","
             + "\"rejects_overload\":false}],\"routes\":[{\"name\":\"q1\",\"host\":\""
             + QUEUE_HOST
             + "\",\"path_prefix\":\""
             + PREFIX
-            + "\",\"service\":\"press-hub\",\"timeout_ms\":3000,\"priority\":0,\"max_attempts\":"
+            + "\",\"service\":\"press-hub\",\"timeout_ms\":3000,\"priority\":"
+            + priority
+            + ",\"max_attempts\":"
             + maxAttempts
             + ",\"stretch\":1.5,\"target_latency_ms\":600"
             + (advice
