--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/FakeStore.java
@@ -1,6 +1,7 @@
 package org.hickorymoor.daemon.shard;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -33,9 +34,12 @@
 
   private static final long MAX_EXECUTION_DELAY_MS = 5_000;
 
+  /** The platform returns at most this many records on one page. */
+  private static final int MAX_PAGE_RECORDS = 500;
+
   private static final class Stream {
     private final List<KeyedLogPort.StoredRecord> records = new ArrayList<>();
-    private final Map<String, KeyedLogPort.StoredRecord> newest = new TreeMap<>();
+    private final TreeMap<String, KeyedLogPort.StoredRecord> newest = new TreeMap<>();
     private final Map<String, Long> epochs = new HashMap<>();
     private final Map<String, TreeMap<Long, Long>> offsetsBySequence = new HashMap<>();
     private final List<Runnable> waitingReads = new ArrayList<>();
@@ -314,7 +318,16 @@
       return call(
           false,
           timeoutMs,
-          () -> new Page(List.copyOf(stream.newest.values()), false, stream.records.size()));
+          () -> {
+            Collection<KeyedLogPort.StoredRecord> rest =
+                afterKey == null
+                    ? stream.newest.values()
+                    : stream.newest.tailMap(afterKey, false).values();
+            return new Page(
+                rest.stream().limit(MAX_PAGE_RECORDS).toList(),
+                rest.size() > MAX_PAGE_RECORDS,
+                stream.records.size());
+          });
     }
   }
 }
