Refuse the start of a former process that is stored late

Callers would see: a takeover that waits for leases up to 13 s although the host that granted them has restarted, if the store executes the former process's record of its start after that of the latest one.

Change: the record is written under the newest epoch that the process has read, so that the store refuses an older one. An equal epoch means that the former process has coordinated nothing, so its record proves as much.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/HostStarts.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/HostStarts.java
@@ -8,7 +8,9 @@
 import org.hickorymoor.daemon.port.KeyedLogPort;
 import org.hickorymoor.daemon.port.KeyedLogPort.Entry;
 import org.hickorymoor.daemon.port.KeyedLogPort.StoredRecord;
+import org.hickorymoor.daemon.port.KeyedLogPort.Writer;
 import org.hickorymoor.daemon.port.KeyedStream;
+import org.hickorymoor.daemon.port.PlatformException;
 
 /**
  * Stores that the process of this host has started, and reads the starts of other hosts.
@@ -67,6 +69,10 @@
     stopped = true;
   }
 
+  /**
+   * Stores the start under the newest epoch, so that the store refuses a late write of a former
+   * process of this host, which would replace the record by one that proves less.
+   */
   private void store(long newestEpoch) {
     if (stopped) {
       return;
@@ -77,11 +83,15 @@
         log.append(
             KeyedStream.HOST_STARTS,
             List.of(new Entry(settings.hostId(), value)),
-            null,
+            new Writer(settings.hostId(), newestEpoch + 1, 0),
             KeyedLogPort.ANY_OFFSET,
             ShardSettings.STORE_TIMEOUT_MS),
         (offset, failure) -> {
-          if (failure != null) {
+          if (failure != null && failure.type() == PlatformException.Type.FENCED) {
+            logger.atWarning().log(
+                "hosts: A later process of this host has stored its start: %s",
+                failure.getMessage());
+          } else if (failure != null) {
             loop.schedule(ShardSettings.STORE_RETRY_MS, () -> store(newestEpoch));
           }
         });
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/HostStartsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/HostStartsTest.java
@@ -18,6 +18,9 @@
   private static final long LEASE_MS = HeartbeatHistory.maxElapsedMs(WORKER_LEASE_MS);
   private static final long AFTER_TERM_MS = HeartbeatHistory.MAX_LEASE_AFTER_TERM_MS;
 
+  /** Longer than the store takes to execute an unanswered write. */
+  private static final long LATE_WRITE_MS = 6_000;
+
   /** How long a read of the store takes, and a task of the loop after it. */
   private static final long READ_MS = 5;
 
@@ -128,6 +131,24 @@
     assertThat(Long.parseLong(starts.get(0).substring("a\n1\n".length()))).isAtLeast(990);
   }
 
+  // Guards against a wait for leases that starts anew since the store has executed the write of a
+  // former process of the host after that of the latest one.
+  @Test
+  void startOfFormerProcessThatIsStoredLateDoesNotReplaceTheLatest() {
+    store.loseWriteAnswers(1, 1);
+    former.starts.start();
+    former.starts.announce(1);
+    time.advance(READ_MS);
+    former.loop.kill();
+    store.loseWriteAnswers(0, 0);
+
+    Host latest = new Host("a");
+    latest.starts.start();
+    latest.starts.announce(2);
+    time.advance(LATE_WRITE_MS);
+    assertThat(stored()).containsExactly("a\n2\n0");
+  }
+
   @Test
   void stoppedHostDoesNotRepeatTheAnnouncement() {
     store.setUnresponsive(true);
