Let tasks start in the headroom where they would wait for it without need

Cause: a task that isn't of priority 0 had to leave 6 % of a worker free, also if no worker could ever offer that beside its lasting runs, and also if most of the service was free. Reservations for wide tasks count with the same headroom.

Change: a task goes to a worker on which it leaves the headroom, if there is one. Otherwise it starts in the headroom if it lasts, if under 60 % of the service's processors are in use, or if only lasting runs are beside it and the headroom could never be left. The preview of placements, reservations and admission control count the same way. A busy service keeps the headroom.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/AdmissionControl.java
@@ -276,13 +276,15 @@
         cell.schedulableWorkers()
             .filter(worker -> worker.descriptor().service().equals(service))
             .toList();
+    final boolean keepsHeadroom = UrgentHeadroom.isKept(workers);
     long cpuMillis = 0;
     boolean roomFree = demand == null;
     boolean urgentRoomFree = demand == null;
     for (WorkerAllocation worker : workers) {
       cpuMillis += worker.descriptor().cpuMillis();
       if (demand != null) {
-        roomFree |= fits(demand, worker, UrgentHeadroom.headroom(LOWER_PRIORITY, worker));
+        int keepFree = keepsHeadroom ? UrgentHeadroom.headroom(LOWER_PRIORITY, worker) : 0;
+        roomFree |= fits(demand, worker, keepFree);
         urgentRoomFree |= fits(demand, worker, UrgentHeadroom.headroom(TOP_PRIORITY, worker));
       }
     }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/PlacementPreview.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/PlacementPreview.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import org.hickorymoor.daemon.peer.ByteBuffers;
 import org.hickorymoor.daemon.peer.PeerErrorType;
 import org.hickorymoor.daemon.peer.PeerReply;
@@ -273,6 +274,8 @@
   static StepFit fit(
       StepProgress step, QueuePolicy policy, int permitted, List<Candidate> candidates) {
     TaskProgress task = step.tasks().get(0);
+    ToIntFunction<WorkerAllocation> keepFreeCpuMillis =
+        keepFreeCpuMillis(task, policy.priority(), candidates);
     Map<Obstacle, Integer> obstacles = new EnumMap<>(Obstacle.class);
     List<WorkerAllocation> fitting = new ArrayList<>();
     int fitEmpty = 0;
@@ -280,7 +283,7 @@
       if (candidate.schedulable() && candidate.allocation().fitsEmpty(task.spec())) {
         fitEmpty++;
       }
-      Obstacle obstacle = obstacle(candidate, task, policy.priority());
+      Obstacle obstacle = obstacle(candidate, task, keepFreeCpuMillis);
       if (obstacle == null) {
         fitting.add(candidate.allocation());
       } else {
@@ -301,7 +304,23 @@
         fitting.stream().limit(BEST_WORKERS).map(best -> workerCost(best, task)).toList());
   }
 
-  private static @Nullable Obstacle obstacle(Candidate candidate, TaskProgress task, int priority) {
+  /** Returns what must remain free beside a task on each worker, as for {@link StepPlacer}. */
+  private static ToIntFunction<WorkerAllocation> keepFreeCpuMillis(
+      TaskProgress task, int priority, List<Candidate> candidates) {
+    ToIntFunction<WorkerAllocation> headroom =
+        allocation -> UrgentHeadroom.headroom(priority, allocation);
+    if (candidates.stream().anyMatch(candidate -> obstacle(candidate, task, headroom) == null)) {
+      return headroom;
+    }
+    List<WorkerAllocation> schedulable =
+        candidates.stream().filter(Candidate::schedulable).map(Candidate::allocation).toList();
+    return UrgentHeadroom.isWaivedFor(task.spec(), schedulable)
+        ? allocation -> 0
+        : allocation -> UrgentHeadroom.keepFreeCpuMillis(priority, task.spec(), allocation);
+  }
+
+  private static @Nullable Obstacle obstacle(
+      Candidate candidate, TaskProgress task, ToIntFunction<WorkerAllocation> keepFreeCpuMillis) {
     WorkerAllocation allocation = candidate.allocation();
     if (allocation.descriptor().draining()) {
       return Obstacle.DRAINING;
@@ -317,8 +336,7 @@
     if (label != null && !allocation.descriptor().labels().contains(label)) {
       return Obstacle.LABEL;
     }
-    int keepFree = UrgentHeadroom.keepFreeCpuMillis(priority, spec, allocation);
-    if (allocation.fits(task, keepFree)) {
+    if (allocation.fits(task, keepFreeCpuMillis.applyAsInt(allocation))) {
       return candidate.held() ? Obstacle.RESERVED : null;
     }
     if (allocation.freeAccelerators() < spec.accelerators()) {
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/StepPlacer.java
@@ -1,10 +1,12 @@
 package org.hickorymoor.daemon.shard;
 
+import com.google.common.base.Suppliers;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.hickorymoor.domain.workload.ApprovalPolicy;
 import org.hickorymoor.domain.workload.QueuePolicy;
 import org.hickorymoor.domain.workload.StepProgress;
@@ -74,8 +76,7 @@
     if (permitted == 0 || (step.spec().gang() && permitted < idle)) {
       return;
     }
-    List<WorkerSession> schedulable =
-        schedulableByService.computeIfAbsent(policy.service(), this::schedulableWorkers);
+    List<WorkerSession> schedulable = schedulable(policy.service());
     ApprovalPolicy approvalPolicy = policy.approval();
     List<WorkerSession> eligible =
         approvalPolicy == null ? schedulable : approvedWorkers(step.name());
@@ -102,6 +103,15 @@
         .toList();
   }
 
+  /** Returns the workers in use of a service as they were at the beginning of the pass. */
+  private List<WorkerSession> schedulable(String service) {
+    return schedulableByService.computeIfAbsent(service, this::schedulableWorkers);
+  }
+
+  private List<WorkerAllocation> allocations(String service) {
+    return schedulable(service).stream().map(WorkerSession::allocation).toList();
+  }
+
   private List<WorkerSession> approvedWorkers(String step) {
     List<WorkerSession> approved = new ArrayList<>();
     for (String worker : approvals.approvedWorkers(step)) {
@@ -189,23 +199,36 @@
       List<WorkerSession> eligible,
       @Nullable String gangRack,
       Predicate<WorkerSession> isUsable) {
-    int priority = next.job().submission().policy().priority();
+    QueuePolicy policy = next.job().submission().policy();
+    Supplier<Boolean> headroomWaived =
+        Suppliers.memoize(
+            () -> UrgentHeadroom.isWaivedFor(task.spec(), allocations(policy.service())));
     WorkerSession best = null;
     double bestCost = Double.MAX_VALUE;
+    WorkerSession bestInHeadroom = null;
+    double bestCostInHeadroom = Double.MAX_VALUE;
     for (WorkerSession session : eligible) {
       WorkerAllocation allocation = session.allocation();
-      int keepFree = UrgentHeadroom.keepFreeCpuMillis(priority, task.spec(), allocation);
-      if (!allocation.fits(task, keepFree)
+      if (!allocation.fits(task, 0)
           || !isUsable.test(session)
           || !reservations.permits(next, session)) {
         continue;
       }
       double cost = allocation.cost(task, gangRack);
-      if (cost < bestCost) {
-        best = session;
-        bestCost = cost;
+      if (allocation.fits(task, UrgentHeadroom.headroom(policy.priority(), allocation))) {
+        if (cost < bestCost) {
+          best = session;
+          bestCost = cost;
+        }
+      } else if (cost < bestCostInHeadroom
+          && (allocation.fits(
+                  task,
+                  UrgentHeadroom.keepFreeCpuMillis(policy.priority(), task.spec(), allocation))
+              || headroomWaived.get())) {
+        bestInHeadroom = session;
+        bestCostInHeadroom = cost;
       }
     }
-    return best;
+    return best != null ? best : bestInHeadroom;
   }
 }
--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/WideTaskReservations.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/WideTaskReservations.java
@@ -11,6 +11,7 @@
 import org.hickorymoor.domain.workload.RoomForecast;
 import org.hickorymoor.domain.workload.RunTimes;
 import org.hickorymoor.domain.workload.StepProgress;
+import org.hickorymoor.domain.workload.StepSpec;
 import org.hickorymoor.domain.workload.TaskProgress;
 import org.hickorymoor.domain.workload.Urgency.Timeliness;
 import org.hickorymoor.domain.workload.UrgentHeadroom;
@@ -172,16 +173,17 @@
 
   private long msUntilFits(Waiting step, WorkerSession worker) {
     WorkerAllocation allocation = worker.allocation();
-    if (!allocation.fitsEmpty(step.task.spec())
-        || allocation.dominantShare(step.task.spec()) < WIDE_SHARE) {
+    StepSpec spec = step.task.spec();
+    if (!allocation.fitsEmpty(spec) || allocation.dominantShare(spec) < WIDE_SHARE) {
       return RoomForecast.NEVER_MS;
     }
     List<RoomForecast.Run> runs =
         worker.placements().stream()
             .map(run -> new RoomForecast.Run(run.task().spec(), remainingMs(run)))
             .toList();
-    int keepFree = UrgentHeadroom.keepFreeOnceFree(step.priority(), step.task.spec(), allocation);
-    long untilMs = RoomForecast.msUntilFits(allocation, step.task.spec(), keepFree, runs);
+    int keepFree =
+        spec.longRunning() ? 0 : UrgentHeadroom.keepFreeOnceFree(step.priority(), spec, allocation);
+    long untilMs = RoomForecast.msUntilFits(allocation, spec, keepFree, runs);
     // Where there is room already, something else keeps the task away, such as its limit per
     // worker.
     return untilMs == 0 && !allocation.fits(step.task, keepFree) ? RoomForecast.NEVER_MS : untilMs;
--- a/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/WorkerAllocation.java
@@ -54,6 +54,7 @@
   private final Map<String, Integer> tasksByStep = new HashMap<>();
   private WorkerDescriptor descriptor;
   private int usedCpuMillis;
+  private int lastingCpuMillis;
   private int usedMemoryMb;
   private int usedAccelerators;
   private int bestEffortRuns;
@@ -97,6 +98,7 @@
 
   private void count(TaskId task, StepSpec spec, int sign) {
     usedCpuMillis += sign * spec.reservedCpuMillis();
+    lastingCpuMillis += spec.longRunning() ? sign * spec.reservedCpuMillis() : 0;
     usedMemoryMb += sign * spec.memoryMb();
     usedAccelerators += sign * spec.accelerators();
     bestEffortRuns += spec.bestEffort() ? sign : 0;
@@ -120,9 +122,14 @@
     return descriptor.accelerators() - usedAccelerators;
   }
 
-  /** Returns whether no run has reserved CPU capacity. */
-  public boolean isCpuUnreserved() {
-    return usedCpuMillis == 0;
+  /** Returns the CPU capacity that runs without an end have reserved, in thousandths of a core. */
+  public int lastingCpuMillis() {
+    return lastingCpuMillis;
+  }
+
+  /** Returns whether no run that will end has reserved CPU capacity. */
+  public boolean isCpuReservedByLastingRunsOnly() {
+    return usedCpuMillis == lastingCpuMillis;
   }
 
   /**
