Start work within a customer's limit beside a small task that lasts

Cause: a task started only if use and request stay within the limit together, or if the customer had nothing running. 500 and 9,600 are 10,100, for as long as the small task lasts.

Change: a task that doesn't fit starts while less than half of the limit is in use, for each resource that it exceeds. The customer is above its limit then, so nothing more starts. A gang may exceed the limit with its last member the same way.

--- a/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/shard/CustomerAccounting.java
@@ -200,9 +200,7 @@
 
   /** Returns how many tasks of a step the customer's limit permits now. Counts nothing. */
   int startsWithinLimit(CustomerPolicy stored, StepSpec step) {
-    ResourceTotals demand = ResourceTotals.requestOf(step);
-    int permitted = usage.permittedStarts(policies.of(stored), demand, step.count());
-    return !policies.isConfigured() || (step.gang() && permitted < step.count()) ? 0 : permitted;
+    return policies.isConfigured() ? permittedStarts(policies.of(stored), step, step.count()) : 0;
   }
 
   /** Returns limit, use and share of the customer of a job that is accepted now. */
@@ -230,15 +228,22 @@
       return 0;
     }
     CustomerPolicy policy = policies.of(stored);
-    ResourceTotals demand = ResourceTotals.requestOf(step);
-    int permitted = usage.permittedStarts(policy, demand, wanted);
+    int permitted = permittedStarts(policy, step, wanted);
     if (permitted < wanted) {
-      holds.stepHeld(policy, demand);
+      holds.stepHeld(policy, ResourceTotals.requestOf(step));
       metrics.stepHeld(stored.name());
     }
     return permitted;
   }
 
+  private int permittedStarts(CustomerPolicy policy, StepSpec step, int wanted) {
+    ResourceTotals demand = ResourceTotals.requestOf(step);
+    if (!step.gang()) {
+      return usage.permittedStarts(policy, demand, wanted);
+    }
+    return usage.permitsTogether(policy, demand, wanted) ? wanted : 0;
+  }
+
   /** Ends a placement pass. */
   void endPass() {
     holds.endPass(policies.version(), usage::used);
--- a/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/shard/CustomerLimitsTest.java
@@ -67,6 +67,25 @@
     assertThat(hasMetrics).isTrue();
   }
 
+  /** Guards against work within the limit that a small task of the customer holds back for ever. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void workWithinLimitStartsBesideSmallLastingTask(boolean isGang) {
+    configure(customer("acme", 1, 10));
+    cell.workers.durations(() -> 600_000L);
+    cell.awaitCoordinator();
+    cell.submit("h0", "acme-small", customer("acme", 1, 0), step(1, List.of(), true));
+    cell.awaitRun("acme-small.0.0.0");
+
+    StepSpec large =
+        new StepSpec(
+            1, 9_600, 500, 0, 500, List.of(), false, false, false, null, null, 0, false, true, "",
+            0, false, 0);
+    cell.submit("h0", "acme-large", customer("acme", 1, 0), isGang ? gang(10) : large);
+    assertThat(cell.time.advanceUntil(3_000, () -> running("acme-large") == (isGang ? 10 : 1)))
+        .isTrue();
+  }
+
   /** Guards against starts without a limit on a coordinator that has no configuration yet. */
   @Test
   void jobsOfCustomersBeginWithTheFirstConfiguration() {
--- a/domain/src/main/java/org/hickorymoor/domain/customer/CustomerUsage.java
+++ b/domain/src/main/java/org/hickorymoor/domain/customer/CustomerUsage.java
@@ -74,10 +74,12 @@
   }
 
   /**
-   * Returns how many tasks of a customer may start without bringing its use above its limit.
+   * Returns how many tasks of a customer may start, each by itself.
    *
-   * <p>A customer whose use is above its limit in any resource, for example after the limit was
-   * lowered, may start none. A task that exceeds the limit by itself may run alone.
+   * <p>The use stays within the limit, except for one task that doesn't fit beside what runs: it
+   * may start while the use of each resource that it exceeds is below half of the limit, as it
+   * might wait for tasks that never end otherwise. A customer whose use is above its limit in any
+   * resource, for example after the limit was lowered, may start none.
    *
    * @param policy policy that applies to the customer now
    * @param demand full request of one task
@@ -85,15 +87,37 @@
    * @return a number from 0 to {@code wanted}
    */
   public int permittedStarts(CustomerPolicy policy, ResourceTotals demand, int wanted) {
-    Account account = accounts.get(policy.name());
-    ResourceTotals used = account == null ? ResourceTotals.NONE : account.used;
-    long permitted = wanted;
-    permitted = limit(permitted, policy.limit().cpuMillis(), used.cpuMillis(), demand.cpuMillis());
-    permitted = limit(permitted, policy.limit().memoryMb(), used.memoryMb(), demand.memoryMb());
-    permitted =
-        limit(permitted, policy.limit().accelerators(), used.accelerators(), demand.accelerators());
-    boolean startsAlone = account == null && wanted > 0;
-    return (int) Math.max(permitted, startsAlone ? 1 : 0);
+    ResourceTotals used = used(policy.name());
+    long fitting = wanted;
+    fitting = limit(fitting, policy.limit().cpuMillis(), used.cpuMillis(), demand.cpuMillis());
+    fitting = limit(fitting, policy.limit().memoryMb(), used.memoryMb(), demand.memoryMb());
+    fitting =
+        limit(fitting, policy.limit().accelerators(), used.accelerators(), demand.accelerators());
+    return fitting == 0 && wanted > 0 && permitsTogether(policy, demand, 1) ? 1 : (int) fitting;
+  }
+
+  /**
+   * Returns whether tasks of a customer may start together, as the members of a gang do.
+   *
+   * <p>Like a task by itself, the last of them may exceed the limit while the use is below half of
+   * it.
+   *
+   * @param policy policy that applies to the customer now
+   * @param demand full request of one task
+   * @param count number of tasks that start together, at least 1
+   */
+  public boolean permitsTogether(CustomerPolicy policy, ResourceTotals demand, int count) {
+    ResourceTotals used = used(policy.name());
+    return permits(count, policy.limit().cpuMillis(), used.cpuMillis(), demand.cpuMillis())
+        && permits(count, policy.limit().memoryMb(), used.memoryMb(), demand.memoryMb())
+        && permits(
+            count, policy.limit().accelerators(), used.accelerators(), demand.accelerators());
+  }
+
+  private static boolean permits(int count, long limit, long used, long demand) {
+    boolean fits = used + count * demand <= limit;
+    boolean exceedsWithLast = 2 * used < limit && used + (count - 1) * demand <= limit;
+    return limit == 0 || fits || exceedsWithLast;
   }
 
   private static long limit(long wanted, long limit, long used, long demand) {
