Stop reusing silent connections after one call without an answer

Callers saw: after some wide jobs the open connections to all workers went silent while new ones worked.

Cause: a call that times out closes its own connection only. Up to 24 idle ones to each worker were silent as well, and each of the next calls tried one of them for a whole timeout.

Change: the client notes when a call without an answer was sent, and closes connections to that address that have not answered since instead of reusing them. One timeout shows that all are silent; connections that go on answering are kept. The store is called through the same client.

--- a/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hickorymoor/daemon/adapter/AsyncHttpClient.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -29,9 +29,10 @@
 /**
  * Asynchronous HTTP client for calls to the platform and to workers. A process uses one instance.
  *
- * <p>A call that times out closes its connection, so that an unresponsive connection is not reused.
- * Futures complete with a response of any status, and fail only with {@link PlatformException}.
- * Thread-safe.
+ * <p>A call that times out closes its connection, and other connections to the same address that
+ * have not answered since it was sent are not reused, so that unresponsive connections cost one
+ * timeout together. Futures complete with a response of any status, and fail only with {@link
+ * PlatformException}. Thread-safe.
  */
 public final class AsyncHttpClient {
 
@@ -81,7 +82,10 @@
   public AsyncHttpClient(Limits limits) {
     ClientConnector connector = new ClientConnector();
     connector.setSelectors(SELECTORS);
-    client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+    transport.setConnectionPoolFactory(
+        destination -> new ExpiringConnectionPool(destination, limits.connectionsPerTarget()));
+    client = new HttpClient(transport);
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("platform");
     threads.setReservedThreads(0);
@@ -172,14 +176,14 @@
       request.body(new BytesRequestContent("application/json", body));
     }
     request.timeout(timeoutMs, TimeUnit.MILLISECONDS);
-    AtomicBoolean begun = new AtomicBoolean();
-    request.onRequestBegin(sending -> begun.set(true));
+    AtomicReference<@Nullable Long> sentNs = new AtomicReference<>();
+    request.onRequestBegin(sending -> sentNs.set(System.nanoTime()));
     request.send(
         new BufferingResponseListener(maxResponseBytes) {
           @Override
           public void onComplete(Result result) {
             if (result.isFailed()) {
-              completeFailed(future, url, result, begun.get());
+              completeFailed(future, url, result, sentNs.get());
               return;
             }
             byte[] content = getContent();
@@ -192,8 +196,8 @@
   }
 
   /** Completes a call that failed, which an overloaded target may have refused before. */
-  private static void completeFailed(
-      CompletableFuture<Response> future, String url, Result result, boolean begun) {
+  private void completeFailed(
+      CompletableFuture<Response> future, String url, Result result, @Nullable Long sentNs) {
     int status = result.getResponse() == null ? 0 : result.getResponse().getStatus();
     if (status == HttpStatus.TOO_MANY_REQUESTS_429
         || status == HttpStatus.SERVICE_UNAVAILABLE_503) {
@@ -201,7 +205,17 @@
       // The status alone says that nothing was done.
       future.complete(new Response(status, new byte[0]));
     } else {
-      future.completeExceptionally(failure(url, result.getFailure(), begun));
+      if (sentNs != null && result.getFailure() instanceof TimeoutException) {
+        onUnanswered(result.getRequest(), sentNs);
+      }
+      future.completeExceptionally(failure(url, result.getFailure(), sentNs != null));
+    }
+  }
+
+  private void onUnanswered(Request request, long sentNs) {
+    if (client.resolveDestination(request).getConnectionPool()
+        instanceof ExpiringConnectionPool pool) {
+      pool.onUnanswered(sentNs);
     }
   }
 
