Submit the job that must not be repeated once the log outage is known

Trace: the repeatable job before is done sooner now, so the second one arrives before the hosts know that the log is out (3 s after it hangs, by the log lines "is OUT"). Its claim is sent and gets no answer, and the caller is told in-doubt, as docs/FAILURES.md says and LogOutageProcessTest checks. The test had relied on the time that the first job took.

It now waits until claims are disabled on all hosts, as LogOutageProcessTest does, and expects not-run as before.

SilentConnectionsTest also checks that calls to a server that answers nothing fail in time.

--- a/daemon/src/test/java/org/hickorymoor/daemon/adapter/SilentConnectionsTest.java
+++ b/daemon/src/test/java/org/hickorymoor/daemon/adapter/SilentConnectionsTest.java
@@ -41,6 +41,7 @@
     private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+    private volatile boolean silenceAll;
     private final AtomicInteger accepted = new AtomicInteger();
 
     /** Holds back answers until this many requests have arrived, so that each has a connection. */
@@ -79,7 +80,7 @@
           }
           CountDownLatch awaited = requests;
           awaited.countDown();
-          if (silent.contains(connection)) {
+          if (silenceAll || silent.contains(connection)) {
             continue;
           }
           awaited.await();
@@ -190,6 +191,26 @@
     }
   }
 
+  /** Guards against calls that are never completed, neither answered nor failed. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4, 40})
+  void callsToServerThatAnswersNothingFailInTime(int concurrentCalls) throws Exception {
+    openConnections(2);
+    server.silenceAll = true;
+    for (int round = 0; round < 6; round++) {
+      List<CompletableFuture<Response>> calls = new ArrayList<>();
+      for (int i = 0; i < concurrentCalls; i++) {
+        calls.add(client.get(server.address(), "/", SHORT_TIMEOUT_MS));
+      }
+      for (CompletableFuture<Response> call : calls) {
+        assertThat(isAnswered(call)).isFalse();
+      }
+    }
+    server.silenceAll = false;
+
+    assertThat(isAnswered(PATIENCE_MS)).isTrue();
+  }
+
   /** Guards against a lost answer that closes the connections which go on answering. */
   @Test
   void connectionsThatHaveAnsweredSinceAreReused() throws Exception {
--- a/process-tests/src/test/java/org/hickorymoor/process/PairsProcessTest.java
+++ b/process-tests/src/test/java/org/hickorymoor/process/PairsProcessTest.java
@@ -143,6 +143,8 @@
 
     HttpJsonClient.Reply preview =
         cell.submit(entry, TestRecords.batch("p1", "urgent", 1, 50, "swatch"), WAIT_MS);
+    // A claim that is sent before the outage is known gets no answer, and leaves the job in doubt.
+    cell.awaitClaimsDisabled(HOSTS);
     HttpJsonClient.Reply plate = cell.submit(entry, TestRecords.atMostOnce("plate", 50), WAIT_MS);
 
     assertThat(preview.state()).isEqualTo("done");
