--- a/domain/src/main/java/org/hickorymoor/domain/workload/UrgentHeadroom.java
+++ b/domain/src/main/java/org/hickorymoor/domain/workload/UrgentHeadroom.java
@@ -24,7 +24,7 @@
 
   /**
    * Returns what must remain free beside a task. A task that can't leave the headroom beside the
-   * runs that last leaves less once no other runs are on the worker, as it would fit never
+   * runs that last leaves less once no other runs are on the worker, as it would never fit
    * otherwise.
    *
    * @param priority priority of the task's queue
